--- a/glenhead/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""glenhead: placing long-lived connections by two random choices, one balancer at a time."""
-
-from glenhead.policy import Balancer
-
-__all__ = ["Balancer"]
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -8,7 +8,7 @@
 import heapq
 from dataclasses import dataclass, field
 
-from glenhead.interface import (
+from yarrowspindle.interface import (
     NEVER_RAN,
     Action,
     AttemptEnded,
@@ -31,7 +31,7 @@
     State,
     TimerDue,
 )
-from glenhead.policy import Balancer
+from yarrowspindle.policy import Balancer
 
 
 @dataclass
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from glenhead.interface import (
+from yarrowspindle.interface import (
     Action,
     AttemptEnded,
     Established,
@@ -17,7 +17,7 @@
     ServerList,
     Settings,
 )
-from glenhead.policy import Balancer
+from yarrowspindle.policy import Balancer
 
 SAFE = RequestClass(aim_ms=500.0, deadline_ms=2000.0)
 
--- a/tests/test_bookkeeping.py
+++ b/tests/test_bookkeeping.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from glenhead.interface import NEVER_RAN, Adopted, LoadChanged, Outcome, Request
 from tests.helpers import balancer, end, open_one, sends
+from yarrowspindle.interface import NEVER_RAN, Adopted, LoadChanged, Outcome, Request
 
 
 @pytest.mark.parametrize("outcome", list(Outcome))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from glenhead.interface import (
+from tests.helpers import balancer, end, full_list, open_one, sends, settings
+from yarrowspindle.interface import (
     Established,
     Fail,
     ListKind,
@@ -21,8 +22,7 @@
     SetTimer,
     TimerDue,
 )
-from glenhead.policy import Balancer
-from tests.helpers import balancer, end, full_list, open_one, sends, settings
+from yarrowspindle.policy import Balancer
 
 TOLD = (RequestClass(500.0, 2000.0, message_aim_ms=90.0),)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,9 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from glenhead.interface import (
+from tests.driver import Driver
+from tests.helpers import balancer, end, sends, settings
+from yarrowspindle.interface import (
     Action,
     Effect,
     Established,
@@ -24,9 +26,7 @@
     Subscribe,
     TimerDue,
 )
-from glenhead.policy import Balancer
-from tests.driver import Driver
-from tests.helpers import balancer, end, sends, settings
+from yarrowspindle.policy import Balancer
 
 CLASSES = (
     RequestClass(500.0, 2000.0, Effect.SAFE, message_aim_ms=100.0),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from glenhead import benchlink, wire
-from glenhead.interface import (
+from yarrowspindle import adapter, settings, wire
+from yarrowspindle.interface import (
     AttemptEnded,
     Cancel,
     Effect,
@@ -74,13 +74,13 @@
 
 def serve(data: bytes) -> bytes:
     sink = io.BytesIO()
-    benchlink.serve(io.BytesIO(data), sink)
+    adapter.serve(io.BytesIO(data), sink)
     return sink.getvalue()
 
 
 def read(body_record: bytes) -> object:
     code, size = struct.unpack_from("<HI", body_record)
-    return benchlink.READERS[code](body_record, 6, 6 + size)
+    return adapter.READERS[code](body_record, 6, 6 + size)
 
 
 def test_an_empty_batch_has_an_empty_reply() -> None:
@@ -140,7 +140,7 @@
     (Subscribe(), "4c04 01000000 01"),
     (Log("two servers known"), "3804 13000000 1100 74776f2073657276657273206b6e6f776e")])  # fmt: skip
 def test_actions_are_written_as_the_wire_page_has_them(action: object, expected: str) -> None:
-    assert benchlink.encode(action) == bytes.fromhex(expected)  # type: ignore[arg-type]
+    assert adapter.encode(action) == bytes.fromhex(expected)  # type: ignore[arg-type]
 
 
 def test_a_request_goes_out_under_its_instance() -> None:
@@ -164,7 +164,7 @@
                      "categories.0.group": "cell", "family_info.message_aim_ms": "90.0", "new.thing": "x",
                      "realms.count": "1", "realms.0.share": "0.5", "deductions.cross_zone": "0.12",
                      "family_info.tenant_quota_connections": "null"}  # fmt: skip
-    s = benchlink.read_settings(pairs)
+    s = settings.read_settings(pairs)
     assert (s.zone, s.zones, s.asks, s.cold_share, s.cross_zone_price) == (1, 2, True, 0.12, 0.12)
     cls = s.classes[0]
     assert (cls.effect, cls.group, cls.message_aim_ms) == (Effect.KEYED, Group.CELL, 90.0)
@@ -190,16 +190,16 @@
 
 @pytest.mark.parametrize("name", sorted(BAD))
 def test_bad_input_raises_what_ends_the_adapter(name: str) -> None:
-    with pytest.raises((wire.WireError, benchlink.SettingsError)):
+    with pytest.raises((wire.WireError, settings.SettingsError)):
         serve(BAD[name])
 
 
 @pytest.mark.parametrize("name", ["cut frame", "setting missing"])
 def test_bad_input_ends_the_adapter_with_one_plain_line(name: str) -> None:
-    done = subprocess.run([sys.executable, "-B", "-m", "glenhead.benchlink"], input=BAD[name], cwd=ROOT,
+    done = subprocess.run([sys.executable, "-B", "-m", "yarrowspindle.adapter"], input=BAD[name], cwd=ROOT,
                           capture_output=True, check=False)  # fmt: skip
     assert done.returncode != 0
-    assert done.stderr.decode().count("\n") == 1 and done.stderr.startswith(b"benchlink: ")
+    assert done.stderr.decode().count("\n") == 1 and done.stderr.startswith(b"adapter: ")
 
 
 def test_an_unknown_record_is_passed_over_by_its_length() -> None:
--- a/glenhead/interface.py
+++ b/yarrowspindle/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of a glenhead balancer.
+"""Settings, events and actions of a yarrowspindle balancer.
 
 A caller builds one `Settings`, makes a `Balancer` from it, and feeds it events in the order of their
 clock; each call returns the actions to carry out, in order. All times are milliseconds, all loads are
--- a/glenhead/policy.py
+++ b/yarrowspindle/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of a balancer for long-lived connections. Interface: glenhead/interface.py.
+"""All decisions of a balancer for long-lived connections. Interface: yarrowspindle/interface.py.
 
 The ordinary path is the two-choice rule of Luczak & McDiarmid, "On the Power of Two Choices: Balls and
 Bins in Continuous Time": draw two ready servers, take the one holding fewer of our own open connections.
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any
 
-from glenhead.interface import (
+from yarrowspindle.interface import (
     NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Effect, Established, Event, Fail, Group,
     ListKind, LoadChanged, Move, Outcome, PeerMessage, Probed, Refuse, Request, Send, ServerList, ServerSlow,
     SetTimer, Settings, State, Subscribe, TimerDue,
--- /dev/null
+++ b/yarrowspindle/settings.py
@@ -0,0 +1,123 @@
+"""Reading the settings that an instance is told, in the deployment's names, into the library's own type."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import TypeVar
+
+from yarrowspindle.interface import Effect, Group, RequestClass, Settings, Tenant
+
+T = TypeVar("T")
+EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+class SettingsError(Exception):
+    """A setting is missing and needed, or makes no sense."""
+
+
+class Pairs:
+    """Typed reading of the path=value settings."""
+
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
+
+    def text(self, path: str, default: str | None = None) -> str:
+        value = self.pairs.get(path, default)
+        if value == "null":  # stated as absent
+            value = default
+        if value is None:
+            raise SettingsError(f"setting {path} is missing")
+        return value
+
+    def number(self, path: str, default: float | None = None) -> float:
+        value = self.text(path, None if default is None else repr(default))
+        try:
+            number = float(value)
+        except ValueError:
+            raise SettingsError(f"setting {path} is not a number: {value!r}") from None
+        if not math.isfinite(number):
+            raise SettingsError(f"setting {path} is not finite: {value}")
+        return number
+
+    def whole(self, path: str, default: int | None = None) -> int:
+        value = float(self.number(path, default))
+        if not value.is_integer():
+            raise SettingsError(f"setting {path} is not a whole number")
+        return int(value)
+
+    def flag(self, path: str, default: bool = False) -> bool:
+        value = self.text(path, "true" if default else "false")
+        if value not in ("true", "false"):
+            raise SettingsError(f"setting {path} is neither true nor false: {value!r}")
+        return value == "true"
+
+    def names(self, path: str) -> list[str]:
+        return [v for v in self.text(path, "").split(",") if v]
+
+    def numbers(self, path: str) -> list[float]:
+        try:
+            return [0.0 if v == "null" else float(v) for v in self.names(path)]
+        except ValueError:
+            raise SettingsError(f"setting {path} is not a list of numbers: {self.text(path)!r}") from None
+
+    def choice(self, path: str, table: Mapping[str, T], default: str) -> T:
+        value = self.text(path, default)
+        if value not in table:
+            raise SettingsError(f"setting {path} has an unknown value: {value!r}")
+        return table[value]
+
+
+def read_settings(pairs: dict[str, str]) -> Settings:
+    """The library's settings from path=value pairs; unknown keys are passed over."""
+    p = Pairs(pairs)
+    message_aims = p.numbers("family_info.message_aim_ms")
+    classes = tuple(
+        RequestClass(
+            aim_ms=p.number(f"categories.{i}.slo_ms"),
+            deadline_ms=p.number(f"categories.{i}.deadline_ms"),
+            effect=p.choice(f"categories.{i}.effect", EFFECTS, "side_effect"),
+            group=p.choice(f"categories.{i}.group", GROUPS, "cell"),
+            window_ms=p.number(f"categories.{i}.window_ms", 0.0),
+            worth=p.number(f"categories.{i}.points", 1.0),
+            message_aim_ms=message_aims[i] if i < len(message_aims) else 0.0,
+        )
+        for i in range(p.whole("categories.count"))
+    )
+    quota = p.numbers("family_info.tenant_quota_connections")
+    tenants = tuple(
+        Tenant(
+            quota_per_s=p.number(f"realms.{i}.quota_per_s", 0.0),
+            quota_connections=quota[i] if i < len(quota) else 0.0,
+            share=p.number(f"realms.{i}.share", 0.0),
+        )
+        for i in range(p.whole("realms.count", 0))
+    )
+    return Settings(
+        classes=classes,
+        zone=p.whole("zone", 0),
+        zones=max(1, len(p.names("azs"))),
+        number=p.whole("slot_no"),
+        balancers=p.whole("balancers"),
+        tenants=tenants,
+        over_share_worth=p.number("over_share_worth", 1.0),
+        asks=p.choice("discovery", {"automatic": False, "subscribe": True}, "automatic"),
+        ask_within_ms=p.number("obligations.ask_within_ms", 10_000.0),
+        drain_grace_ms=p.number("obligations.drain_grace_ms"),
+        answer_slack_ms=p.number("obligations.answer_slack_ms"),
+        cold_share=p.number("obligations.cold_share"),
+        cold_ms=p.number("obligations.cold_ms"),
+        fall_multiple=p.number("obligations.fall_multiple"),
+        fall_ms=p.number("obligations.fall_ms"),
+        connect_timeout_ms=p.number("limits.connect_timeout_ms", 250.0),
+        tick_ms=p.number("step_ms", 1.0),
+        max_attempts=p.whole("limits.max_attempts"),
+        max_retry_after_ms=p.number("limits.max_retry_after_ms", 0.0),
+        retry_after=p.flag("limits.retry_after"),
+        may_cancel=p.flag("limits.cancel"),
+        may_probe=p.flag("limits.probing"),
+        may_tell=p.flag("limits.may_tell"),
+        cross_zone_price=p.number("deductions.cross_zone", 0.0),
+        move_price=p.number("deductions.moves", 0.0),
+    )
