--- /dev/null
+++ b/yarrowspindle/__main__.py
@@ -0,0 +1,7 @@
+"""python -m yarrowspindle: one relay."""
+
+import sys
+
+from yarrowspindle.program.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/yarrowspindle/program/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: configuration, wiring, clock, timers, signals and the log."""
--- /dev/null
+++ b/yarrowspindle/protocol/machines.py
@@ -0,0 +1,105 @@
+"""The machine list: the request for a watch, and its answer as it streams in."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+import httptools
+
+from yarrowspindle.interface import ListKind, State
+from yarrowspindle.routing.messages import Address, ListTold, Machine
+
+STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+LONGEST = 4 << 20
+
+
+class ListError(Exception):
+    """An answer that the machine list should not have given."""
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """Names of zones and kinds, as the settings have them."""
+
+    zones: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=list)
+
+
+def place(names: list[str], name: object) -> int:
+    return names.index(name) if isinstance(name, str) and name in names else 0
+
+
+def parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ListError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def parse_list(data: object, names: Names, kind: ListKind | None = None) -> ListTold:
+    if not isinstance(data, dict) or not isinstance(data.get("members"), list):
+        raise ListError("a list without members")
+    try:
+        machines = [
+            Machine(
+                name=str(m["id"]),
+                address=parse_address(m["host_port"]),
+                state=STATES[m["phase"]],
+                zone=place(names.zones, m.get("locality")),
+                cell=int(m.get("cell") or 0),
+                kind=place(names.kinds, m.get("flavor")),
+                capacity=float(m.get("size") or 1.0),
+                started_ms=float(m.get("up_since_ms") or 0.0),
+            )
+            for m in data["members"]
+        ]
+        version = int(data.get("revision") or 0)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"a member that makes no sense: {error!r}") from error
+    if kind is None:
+        kind = ListKind.FULL if data.get("complete") else ListKind.DELTA
+    return ListTold(kind, machines, version)
+
+
+def watch_request(host: str, version: int) -> bytes:
+    return (f"GET /api/targets?stream=1&index={version} HTTP/1.1\r\nHost: {host}\r\n"
+            "Accept: application/json\r\n\r\n").encode()  # fmt: skip
+
+
+class WatchAnswer:
+    """The answer to a watch, piece by piece; each piece gives the lists that it completes."""
+
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        self.parser = httptools.HttpResponseParser(self)
+        self.rest = b""
+        self.told: list[ListTold] = []
+        self.ended = False
+
+    def feed(self, data: bytes) -> list[ListTold]:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise ListError(f"not HTTP: {error}") from error
+        told, self.told = self.told, []
+        return told
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            raise ListError(f"status {self.parser.get_status_code()}")
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self.rest = (self.rest + body).split(b"\n")
+        if len(self.rest) > LONGEST:
+            raise ListError("a line that is too long")
+        for line in lines:
+            if line.strip():
+                try:
+                    data = json.loads(line)
+                except ValueError as error:
+                    raise ListError("a line that is not JSON") from error
+                self.told.append(parse_list(data, self.names))
+
+    def on_message_complete(self) -> None:
+        self.ended = True
--- /dev/null
+++ b/yarrowspindle/routing/messages.py
@@ -0,0 +1,204 @@
+"""What the reducer is told and what it asks for. Times are milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from yarrowspindle.interface import ListKind, State
+from yarrowspindle.routing.ending import Ending
+
+Address = tuple[str, int]
+
+
+# --- events -------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class JobArrived:
+    job: int
+    left_ms: float
+    cls: int = 0
+    tenant: int = 0
+    key: int = 0
+    load: float = 0.0
+    group: int = 0
+    repeated: bool = False
+    returned: bool = False
+    at: str = ""  # the execute node that held it before the run
+
+
+@dataclass(slots=True)
+class SubmitterLeft:
+    job: int
+
+
+@dataclass(slots=True)
+class NodeReached:
+    job: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class NodeUp:
+    job: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class AttemptOver:
+    """The execute node's side of an attempt or of a standing connection has ended."""
+
+    job: int
+    attempt: int
+    ending: Ending
+
+
+@dataclass(slots=True)
+class LoadTold:
+    job: int
+    load: float
+
+
+@dataclass(slots=True)
+class Asked:
+    """The submitter sent a line on a standing connection."""
+
+    job: int
+
+
+@dataclass(slots=True)
+class Answered:
+    """The execute node sent a line back on it."""
+
+    job: int
+
+
+@dataclass(slots=True)
+class Machine:
+    """One entry of the machine list."""
+
+    name: str
+    address: Address
+    state: State = State.READY
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    capacity: float = 1.0
+    started_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class ListTold:
+    kind: ListKind
+    machines: list[Machine] = field(default_factory=list)
+    version: int = 0
+
+
+@dataclass(slots=True)
+class Woke:
+    what: object
+
+
+@dataclass(slots=True)
+class Stop:
+    """A planned restart: all clients are to be moved within this time."""
+
+    within_ms: float
+
+
+Event = (JobArrived | SubmitterLeft | NodeReached | NodeUp | AttemptOver | LoadTold | Asked | Answered
+         | ListTold | Woke | Stop)
+
+
+# --- effects ------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Reach:
+    """Open a connection to the execute node for this attempt."""
+
+    job: int
+    attempt: int
+    node: str
+    address: Address
+    within_ms: float
+
+
+@dataclass(slots=True)
+class Ask:
+    """Send the job on the connection that has come up."""
+
+    job: int
+    attempt: int
+    left_ms: float
+
+
+@dataclass(slots=True)
+class Drop:
+    """Give the attempt up: end the connection to the execute node."""
+
+    job: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Join:
+    """Pass the execute node's first answer back; from now on both sides flow."""
+
+    job: int
+
+
+@dataclass(slots=True)
+class Requeue:
+    """Final answer: not served, come again after this time."""
+
+    job: int
+    after_ms: float
+
+
+@dataclass(slots=True)
+class Deny:
+    """Final answer: failed."""
+
+    job: int
+
+
+@dataclass(slots=True)
+class Move:
+    """Tell the submitter to come again, and end both sides."""
+
+    job: int
+
+
+@dataclass(slots=True)
+class Close:
+    """End the submitter's side as the execute node's side ended."""
+
+    job: int
+    ending: Ending
+
+
+@dataclass(slots=True)
+class Wake:
+    delay_ms: float
+    what: object
+
+
+@dataclass(slots=True)
+class Unwake:
+    what: object
+
+
+@dataclass(slots=True)
+class Watch:
+    """Watch the machine list, from this version on."""
+
+    version: int
+
+
+@dataclass(slots=True)
+class Note:
+    text: str
+
+
+Effect = Reach | Ask | Drop | Join | Requeue | Deny | Move | Close | Wake | Unwake | Watch | Note
--- /dev/null
+++ b/yarrowspindle/routing/reducer.py
@@ -0,0 +1,356 @@
+"""The one place where state changes: (state, event) -> effects. The module's Balancer sits inside.
+
+Kept here, whatever the module or the network does: exactly one final answer for each job, one attempt out
+at a time, numbered as the module counts, and no send to a node that was told draining or gone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from hashlib import blake2b
+from math import ceil
+from typing import Any
+
+from yarrowspindle import interface as module
+from yarrowspindle.interface import ListKind, ServerEntry, Settings, State
+from yarrowspindle.policy import Balancer
+from yarrowspindle.routing.ending import OUTCOMES, Ending
+from yarrowspindle.routing.messages import (
+    Answered,
+    Ask,
+    Asked,
+    AttemptOver,
+    Close,
+    Deny,
+    Drop,
+    Effect,
+    Event,
+    JobArrived,
+    Join,
+    ListTold,
+    LoadTold,
+    Move,
+    NodeReached,
+    NodeUp,
+    Note,
+    Reach,
+    Requeue,
+    Stop,
+    SubmitterLeft,
+    Unwake,
+    Wake,
+    Watch,
+    Woke,
+)
+from yarrowspindle.routing.state import Job, Node, Phase
+
+PULSE, STOPPING = "pulse", "stopping"  # the reducer's own beats
+PULSE_MS = 250.0
+SILENT_MS = 5000.0  # a standing connection whose lines go unanswered this long is moved (the rule says 7 s)
+TELL_MS = 1000.0  # message times are told once a second for each node
+PINNED_MS = 38_000.0  # connections from before the run have 40 s to come up
+PINNED_AGAIN_MS = 400.0
+EARLY_MS = 4.0  # the deadline's answer leaves this long before the submitter stops waiting
+STOP_BEAT_MS = 50.0
+STOP_QUIET_MS = 450.0  # after SIGTERM the front still sends new connections: who is moved now may come back here
+
+
+def node_number(name: str) -> int:
+    """The module's number for a node: the same at every relay, whatever the order of the list."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+class Reducer:
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        self.settings, self.now = settings, now
+        self.balancer = Balancer(settings, seed, now)
+        aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
+        self.slow_ms = min(aims, default=0.0) / 3.0
+        self.jobs: dict[int, Job] = {}
+        self.nodes: dict[str, Node] = {}
+        self.numbers: dict[int, Node] = {}
+        self.version = 0
+        self.stop_at = 0.0  # when all must be over; 0: no stop
+        self.effects: list[Effect] = [Wake(PULSE_MS, PULSE)]
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            JobArrived: self._arrived, SubmitterLeft: self._left, NodeReached: self._reached, NodeUp: self._up,
+            AttemptOver: self._over, LoadTold: self._load, Asked: self._asked, Answered: self._answered,
+            ListTold: self._list, Woke: self._woke, Stop: self._stop,
+        }  # fmt: skip
+
+    def step(self, now: float, event: Event) -> list[Effect]:
+        self.now = max(self.now, now)
+        self.handlers[type(event)](event)
+        effects, self.effects = self.effects, []
+        return effects
+
+    # --- the module's side ----------------------------------------------------------------------
+
+    def _tell(self, event: module.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            self._act(action)
+
+    def _act(self, action: module.Action) -> None:
+        if isinstance(action, module.Send):
+            self._send(self.jobs[action.request], self.numbers.get(action.server), action.timeout_ms)
+        elif isinstance(action, module.Refuse):
+            self._answer(action.request, Requeue(action.request, action.retry_after_ms))
+        elif isinstance(action, module.Fail):
+            self._answer(action.request, Deny(action.request))
+        elif isinstance(action, module.Move):
+            self._move(self.jobs.get(action.request))
+        elif isinstance(action, module.SetTimer):
+            self.effects.append(Wake(action.delay_ms, action.token))
+        elif isinstance(action, module.Subscribe):
+            self.effects.append(Watch(self.version))
+        elif isinstance(action, module.Log):
+            self.effects.append(Note(action.text))
+        # A Cancel needs nothing more: it only comes for a job whose submitter left, and _left ends the attempt.
+
+    def _send(self, job: Job, node: Node | None, timeout_ms: float) -> None:
+        if job.phase is not Phase.HELD:
+            raise ValueError(f"job {job.id} is {job.phase.name}: one attempt at a time")
+        job.attempt += 1
+        left = job.deadline - self.now
+        if timeout_ms > 0.0:
+            left = min(left, timeout_ms)
+        if node is None or node.state is not State.READY or left <= EARLY_MS:
+            number = node.number if node else 0
+            self._tell(module.AttemptEnded(job.id, job.attempt, number, OUTCOMES[Ending.NEVER_SENT], False))
+            return
+        self._reach(job, node, left)
+
+    def _reach(self, job: Job, node: Node, left: float) -> None:
+        job.step(Phase.REACHING)
+        job.node, job.sent = node, self.now
+        node.jobs.add(job.id)
+        within = min(left, self.settings.connect_timeout_ms)
+        self.effects.append(Reach(job.id, job.attempt, node.name, node.address, within))
+
+    def _answer(self, number: int, answer: Requeue | Deny) -> None:
+        job = self.jobs.get(number)
+        if job is not None and job.phase is Phase.HELD:  # else it has its one answer already
+            self._finish(job)
+            self.effects.append(answer)
+
+    def _finish(self, job: Job) -> None:
+        self._leave_node(job)
+        job.step(Phase.OVER)
+        del self.jobs[job.id]
+        self.effects.append(Unwake(("deadline", job.id)))
+
+    def _leave_node(self, job: Job) -> None:
+        if job.node is not None:
+            job.node.jobs.discard(job.id)
+
+    def _ended(self, job: Job, ending: Ending, finished: bool) -> None:
+        """Tell the module how the attempt ended; `finished`: nothing more is owed for the job."""
+        node = job.node
+        if node is None:
+            raise ValueError(f"job {job.id} has no attempt")
+        if finished:
+            self._finish(job)
+        else:
+            self._leave_node(job)
+            job.step(Phase.HELD)
+        if job.adoption is None:
+            lasted = self.now - job.sent
+            number, outcome = node.number, OUTCOMES[ending]
+            self._tell(module.AttemptEnded(job.id, job.attempt, number, outcome, finished, lasted))
+        elif not finished and ending is Ending.UNREACHED:
+            # All connections from before the run come at once, more than a node may take at a time.
+            self.effects.append(Wake(PINNED_AGAIN_MS, ("again", job.id)))
+        elif not finished:
+            self._answer(job.id, Requeue(job.id, 0.0))
+
+    def _move(self, job: Job | None) -> None:
+        if job is not None and job.phase is Phase.OPEN:
+            self.effects.append(Move(job.id))
+            self._ended(job, Ending.MOVED, True)
+
+    # --- jobs -----------------------------------------------------------------------------------
+
+    def _arrived(self, event: JobArrived) -> None:
+        job = self.jobs[event.job] = Job(event.job, self.now, event.left_ms)
+        if event.at:
+            # A connection from before the run goes to the node that held it and nowhere else.
+            job.adoption = module.Adopted(event.job, node_number(event.at), event.cls, event.tenant, event.key,
+                                          event.load, event.group)  # fmt: skip
+            job.node, job.attempt = self.nodes.get(event.at), 0
+            job.deadline = self.now + PINNED_MS
+        self.effects.append(Wake(max(job.deadline - self.now - EARLY_MS, 0.0), ("deadline", job.id)))
+        if job.adoption is not None:
+            self._pin(job)
+        else:
+            self._tell(module.Request(event.job, event.cls, event.tenant, event.key, event.left_ms, event.load,
+                                      event.group, event.repeated, False, event.returned))  # fmt: skip
+
+    def _pin(self, job: Job) -> None:
+        if job.node is None or job.node.state is not State.READY:
+            self._answer(job.id, Requeue(job.id, 0.0))
+        else:
+            self._reach(job, job.node, job.deadline - self.now)
+
+    def _left(self, event: SubmitterLeft) -> None:
+        job = self.jobs.get(event.job)
+        if job is None:
+            return
+        if job.phase is not Phase.OPEN and job.adoption is None:
+            self._tell(module.ClientGone(job.id))
+        if job.phase is Phase.HELD:
+            self._finish(job)
+        else:
+            self.effects.append(Drop(job.id, job.attempt))
+            self._ended(job, Ending.SUBMITTER_LEFT, True)
+
+    def _current(self, job: int, attempt: int) -> Job | None:
+        """The job, where word on this attempt still matters."""
+        found = self.jobs.get(job)
+        return found if found is not None and found.attempt == attempt and found.phase is not Phase.HELD else None
+
+    def _reached(self, event: NodeReached) -> None:
+        job = self._current(event.job, event.attempt)
+        if job is None or job.node is None or job.phase is not Phase.REACHING:
+            return
+        job.step(Phase.ASKED)
+        self.effects.append(Ask(job.id, job.attempt, job.deadline - self.now))
+
+    def _up(self, event: NodeUp) -> None:
+        job = self._current(event.job, event.attempt)
+        if job is None or job.node is None or job.phase is not Phase.ASKED:
+            return
+        job.step(Phase.OPEN)
+        self.effects += (Unwake(("deadline", job.id)), Join(job.id))
+        if job.adoption is not None:
+            self._tell(job.adoption)
+            job.adoption = None
+        else:
+            self._tell(module.Established(job.id, job.attempt, job.node.number, self.now - job.sent))
+
+    def _over(self, event: AttemptOver) -> None:
+        job = self._current(event.job, event.attempt)
+        if job is None:
+            return
+        if job.phase is Phase.OPEN:
+            self.effects.append(Close(job.id, event.ending))
+            self._ended(job, event.ending, True)
+        else:
+            self._ended(job, event.ending, False)
+
+    # --- standing connections -------------------------------------------------------------------
+
+    def _load(self, event: LoadTold) -> None:
+        job = self.jobs.get(event.job)
+        if job is not None and job.node is not None and job.adoption is None:
+            self._tell(module.LoadChanged(job.id, job.node.number, event.load))
+
+    def _asked(self, event: Asked) -> None:
+        job = self.jobs.get(event.job)
+        if job is not None and job.phase is Phase.OPEN:
+            job.unanswered.append(self.now)
+
+    def _answered(self, event: Answered) -> None:
+        job = self.jobs.get(event.job)
+        if job is not None and job.node is not None and job.unanswered:
+            took = self.now - job.unanswered.popleft()
+            job.node.took.append(took)
+            self._tell_delay(job.node, job)
+
+    def _tell_delay(self, node: Node, job: Job) -> None:
+        """What a message takes at this node, once a second while that is long and once when it no longer is."""
+        if not node.took or self.now < node.told_at + TELL_MS:
+            return
+        took = sum(node.took) / len(node.took)
+        node.took.clear()
+        node.told_at = self.now
+        slow = self.slow_ms > 0.0 and took > self.slow_ms
+        if slow or node.slow:
+            node.slow = slow
+            self._tell(module.ServerSlow(job.id, node.number, took))
+
+    def _pulse(self) -> None:
+        self.effects.append(Wake(PULSE_MS, PULSE))
+        silent = [j for j in self.jobs.values() if j.unanswered and self.now >= j.unanswered[0] + SILENT_MS]
+        for job in silent:
+            # A machine that vanished says nothing and its connections stay open: guard against waiting on.
+            if job.phase is Phase.OPEN:
+                self.effects.append(Move(job.id))
+                self._ended(job, Ending.SILENT, True)
+
+    # --- the machine list -----------------------------------------------------------------------
+
+    def _list(self, event: ListTold) -> None:
+        if event.kind is ListKind.FAILED:
+            self._tell(module.ServerList(event.kind))
+            return
+        self.version = event.version
+        if event.kind is not ListKind.DELTA:
+            listed = {m.name for m in event.machines}
+            for name, node in self.nodes.items():
+                if name not in listed:
+                    node.state = State.GONE
+        entries = []
+        for m in event.machines:
+            if m.name not in self.nodes:
+                node = self.nodes[m.name] = Node(m.name, node_number(m.name))
+                self.numbers[node.number] = node
+            node = self.nodes[m.name]
+            node.address, node.state = m.address, m.state
+            entries.append(ServerEntry(node.number, m.zone, m.cell, m.state, m.capacity, m.started_ms, m.kind))
+        self._tell(module.ServerList(event.kind, entries, event.version))
+        for job in [j for j in self.jobs.values() if j.phase is Phase.REACHING]:
+            # Nothing was sent yet, and nothing may be sent to a node that drains or is gone.
+            if job.node is not None and job.node.state is not State.READY:
+                self.effects.append(Drop(job.id, job.attempt))
+                self._ended(job, Ending.NEVER_SENT, False)
+        for name in [n for n, known in self.nodes.items() if known.state is State.GONE and not known.jobs]:
+            del self.numbers[self.nodes.pop(name).number]
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _woke(self, event: Woke) -> None:
+        if event.what == PULSE:
+            self._pulse()
+        elif event.what == STOPPING:
+            self._move_all()
+        elif isinstance(event.what, int):
+            self._tell(module.TimerDue(event.what))
+        elif isinstance(event.what, tuple):
+            kind, number = event.what
+            job = self.jobs.get(number)
+            if job is not None and kind == "deadline":
+                self._deadline(job)
+            elif job is not None and kind == "again" and job.phase is Phase.HELD:
+                self._pin(job)
+
+    def _deadline(self, job: Job) -> None:
+        if job.out:
+            self.effects.append(Drop(job.id, job.attempt))
+            job.deadline = self.now
+            self._ended(job, Ending.OVERDUE, False)
+        if job.phase is Phase.HELD:  # the module answers at its deadline; if it has not, nothing else would
+            pinned = job.adoption is not None
+            self._answer(job.id, Requeue(job.id, 0.0))
+            if not pinned:
+                self._tell(module.ClientGone(job.id))
+
+    def _stop(self, event: Stop) -> None:
+        """Move every client, spread over the time there is; what comes meanwhile is served and moved as well."""
+        self.stop_at = self.now + event.within_ms
+        self.effects.append(Wake(STOP_QUIET_MS, STOPPING))
+
+    def _move_all(self) -> None:
+        left = self.stop_at - self.now
+        standing = [j for j in self.jobs.values() if j.phase is Phase.OPEN]
+        if left <= 0.0:
+            for job in list(self.jobs.values()):
+                if job.phase is Phase.OPEN:
+                    self._move(job)
+                else:
+                    self._deadline(job)
+            return
+        # As many now as leave the rest for the beats that remain.
+        beats = max(1.0, left / STOP_BEAT_MS - 1.0)
+        for job in standing[: ceil(len(standing) / beats)]:
+            self._move(job)
+        self.effects.append(Wake(min(left, STOP_BEAT_MS), STOPPING))
--- /dev/null
+++ b/yarrowspindle/routing/state.py
@@ -0,0 +1,59 @@
+"""The states of a job, and what is known of each execute node."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+
+from yarrowspindle.interface import Adopted, State
+
+
+class Phase(Enum):
+    HELD = "taken; nothing is out"
+    REACHING = "an attempt is out; its connection is not up yet and nothing was sent"
+    ASKED = "an attempt is out and was sent"
+    OPEN = "the connection stands"
+    OVER = "answered, ended or left by its submitter"
+
+
+STEPS = {
+    Phase.HELD: {Phase.REACHING, Phase.OVER},
+    Phase.REACHING: {Phase.ASKED, Phase.HELD, Phase.OVER},
+    Phase.ASKED: {Phase.OPEN, Phase.HELD, Phase.OVER},
+    Phase.OPEN: {Phase.OVER},
+    Phase.OVER: set(),
+}
+
+
+class Job:
+    __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "arrival", "adoption", "unanswered")
+
+    def __init__(self, job: int, now: float, left_ms: float) -> None:
+        self.id, self.phase = job, Phase.HELD
+        self.attempt = -1  # number of the newest, as the module counts
+        self.node: Node | None = None  # of the newest attempt
+        self.arrival, self.deadline, self.sent = now, now + left_ms, now
+        self.adoption: Adopted | None = None  # open before the run, and not up again yet
+        self.unanswered: deque[float] = deque()  # when lines came that had no line back
+
+    @property
+    def out(self) -> bool:
+        return self.phase in (Phase.REACHING, Phase.ASKED)
+
+    def step(self, phase: Phase) -> None:
+        if phase not in STEPS[self.phase]:
+            raise ValueError(f"job {self.id}: no step from {self.phase.name} to {phase.name}")
+        self.phase = phase
+
+
+class Node:
+    __slots__ = ("name", "number", "address", "state", "slow", "told_at", "took", "jobs")
+
+    def __init__(self, name: str, number: int) -> None:
+        self.name, self.number = name, number
+        self.address = ("", 0)
+        self.state = State.GONE
+        self.slow = False  # the module was told that messages take long
+        self.told_at = 0.0
+        self.took: list[float] = []  # message times since then
+        self.jobs: set[int] = set()  # attempts out and standing connections
--- /dev/null
+++ b/yarrowspindle/transport/machine_list.py
@@ -0,0 +1,61 @@
+"""One watch on the machine list, over one connection of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol, cast
+
+from yarrowspindle.protocol.machines import ListError, Names, WatchAnswer, watch_request
+from yarrowspindle.routing.messages import ListTold
+
+QUIET_S = 4.5  # a watch says something every 2 s, an empty line at least; one that does not is dead
+
+
+class WatchSink(Protocol):
+    def list_told(self, told: ListTold) -> None: ...
+    def watch_over(self, watch: WatchSide, why: str) -> None: ...
+
+
+class WatchSide(asyncio.Protocol):
+    def __init__(self, sink: WatchSink, names: Names, host: str, version: int) -> None:
+        self.sink, self.host, self.version = sink, host, version
+        self.answer = WatchAnswer(names)
+        self.transport: asyncio.Transport | None = None
+        self.quiet: asyncio.TimerHandle | None = None
+        self.over = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(watch_request(self.host, self.version))
+        self._wait()
+
+    def _wait(self) -> None:
+        if self.quiet is not None:
+            self.quiet.cancel()
+        self.quiet = asyncio.get_running_loop().call_later(QUIET_S, self.end, "nothing came for too long")
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        self._wait()
+        try:
+            for told in self.answer.feed(data):
+                self.sink.list_told(told)
+        except ListError as error:
+            self.end(str(error))
+            return
+        if self.answer.ended:
+            self.end("the watch ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end("the connection ended")
+
+    def end(self, why: str) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.quiet is not None:
+            self.quiet.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+        self.sink.watch_over(self, why)
--- /dev/null
+++ b/yarrowspindle/transport/node.py
@@ -0,0 +1,156 @@
+"""The execute node's side: one attempt, and the standing connection that may come of it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from yarrowspindle.protocol import lines
+from yarrowspindle.protocol.lines import LineError, Lines, Word, load_of, word_of
+from yarrowspindle.routing.ending import Ending
+from yarrowspindle.transport.side import Side
+
+MOVE_WAIT_S = 0.5  # for the rest of a line that a MOVE must not cut
+
+ANSWERS = {Word.BYE: Ending.SERVED, Word.MOVE: Ending.SENT_AWAY, Word.ERR: Ending.ERRED,
+           Word.BUSY: Ending.TURNED_AWAY}  # fmt: skip
+
+
+class NodeSink(Protocol):
+    def node_reached(self, side: NodeSide) -> None: ...
+    def node_up(self, side: NodeSide) -> None: ...
+    def node_answered(self, job: int) -> None: ...
+    def node_load(self, job: int, load: float) -> None: ...
+    def node_over(self, side: NodeSide, ending: Ending) -> None: ...
+    def bad_line(self, text: str) -> None: ...
+
+
+class NodeSide(Side):
+    def __init__(self, sink: NodeSink, job: int, attempt: int) -> None:
+        super().__init__()
+        self.sink, self.job, self.attempt = sink, job, attempt
+        self.lines = Lines()
+        self.first = b""  # the UP line, as it came
+        self.early = b""  # what came right behind it
+        self.asked = self.up = self.told = False
+        self.last: Ending | None = None  # what the node's last line says of the end to come
+        self.moving: Side | None = None
+        self.later: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.sink.node_reached(self)
+
+    def ask(self, line: bytes) -> None:
+        self.asked = True
+        self.write(line)
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        if self.up:
+            self._flow(data)
+            return
+        try:
+            whole = self.lines.feed(data)
+        except LineError as error:
+            self.sink.bad_line(f"an execute node sent {error}")
+            self._over(Ending.NOT_UNDERSTOOD)
+            return
+        if not whole:
+            return
+        word = word_of(whole[0])
+        if word is Word.UP:
+            self.up = True
+            self.first = whole[0] + lines.END
+            self.early = b"".join(line + lines.END for line in whole[1:]) + self.lines.rest
+            self.lines.rest = b""
+            self.sink.node_up(self)
+        else:
+            if word not in ANSWERS:
+                self.sink.bad_line(f"an execute node answered {whole[0][:60]!r}")
+            self._over(ANSWERS.get(word, Ending.NOT_UNDERSTOOD))
+
+    def flow(self) -> None:
+        """Called once the other side is set; what came with the UP line follows it."""
+        early, self.early = self.early, b""
+        if early:
+            self._flow(early)
+
+    def _flow(self, data: bytes) -> None:
+        if self.other is None:
+            self.early += data
+            return
+        if self.moving is not None:
+            self._move_between(data)
+            return
+        self.other.write(data)
+        try:
+            whole = self.lines.feed(data)
+        except LineError as error:
+            self.sink.bad_line(f"an execute node sent {error}")
+            self._over(Ending.BROKEN)
+            return
+        for line in whole:
+            word = word_of(line)
+            if word is Word.LOAD:
+                load = load_of(line)
+                if load is not None:
+                    self.sink.node_load(self.job, load)
+            else:
+                self.last = ANSWERS.get(word)
+                if self.last is None:
+                    self.sink.node_answered(self.job)
+
+    def move(self, submitter: Side) -> None:
+        """Send the submitter away, at once if its stream stands between two lines, else behind the line."""
+        self.moving = submitter
+        if self.lines.between:
+            self._moved()
+        else:
+            self.later = asyncio.get_running_loop().call_later(MOVE_WAIT_S, self._moved)
+
+    def _move_between(self, data: bytes) -> None:
+        end = data.find(b"\n") + 1
+        if self.moving is not None:
+            self.moving.write(data[:end] if end else data)
+        if end:
+            self._moved()
+
+    def _moved(self) -> None:
+        if self.later is not None:
+            self.later.cancel()
+            self.later = None
+        if self.moving is not None:
+            self.moving.finish(lines.MOVE)
+            self.moving = None
+        self.told = True
+        self.finish()
+
+    def drop(self) -> None:
+        """The attempt is given up: end the connection, and say nothing more of it."""
+        self.told = True
+        self.finish()
+
+    def eof_received(self) -> bool:
+        self._end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        sent = self.asked and (self.transport is None or self.transport.get_write_buffer_size() == 0)
+        self.transport = None
+        if self.moving is not None:
+            self._moved()
+        self._end(sent)
+
+    def _end(self, sent: bool = True) -> None:
+        if self.up:
+            self._over(self.last or Ending.BROKEN)
+        else:
+            self._over(Ending.BROKEN if self.asked and sent else Ending.UNREACHED)
+
+    def _over(self, ending: Ending) -> None:
+        if not self.told:
+            self.told = True
+            self.sink.node_over(self, ending)
+            self.finish()
--- /dev/null
+++ b/yarrowspindle/transport/side.py
@@ -0,0 +1,56 @@
+"""What both ends of a relayed connection have in common: a transport, the other side, flow control."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any, cast
+
+GRACE_S = 0.5  # after our end of sending, for the peer to end as well
+
+
+class Side(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.other: Side | None = None  # set once both sides flow
+        self.closing = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        sock: Any = transport.get_extra_info("socket")
+        if sock is not None and sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.closing:
+            self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.resume_reading()
+
+    def finish(self, last: bytes = b"") -> None:
+        """Send what is left and end the connection in order; what still comes in is thrown away."""
+        transport = self.transport
+        if transport is None or self.closing:
+            return
+        if last:
+            transport.write(last)
+        self.closing = True
+        self.other = None
+        transport.resume_reading()
+        # Closing at once would reset the connection if the peer has sent what we have not read, and the
+        # reset would overtake our last line.
+        if transport.can_write_eof():
+            transport.write_eof()
+        asyncio.get_running_loop().call_later(GRACE_S, transport.abort)
+
+    def abort(self) -> None:
+        self.closing = True
+        self.other = None
+        if self.transport is not None:
+            self.transport.abort()
