--- /dev/null
+++ b/tests/quic_stand_ins.py
@@ -0,0 +1,195 @@
+"""A node and a client that speak QUIC over loopback, on aioquic's connections, for the tests of the QUIC front."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import ssl
+from functools import cache
+from typing import Any, cast
+
+from aioquic.quic import events
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from yarrowspindle.protocol import quic
+from yarrowspindle.routing.messages import Address
+from yarrowspindle.routing.reducer import node_number
+
+ID_KEY, RESET_KEY = bytes(range(16)), bytes(range(16, 48))
+IDS = quic.NodeIds(ID_KEY)
+
+
+@cache
+def certificate() -> tuple[x509.Certificate, ec.EllipticCurvePrivateKey]:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "node.test")])
+    start = datetime.datetime(2020, 1, 1)
+    built = x509.CertificateBuilder().subject_name(name).issuer_name(name).public_key(key.public_key())
+    built = built.serial_number(1).not_valid_before(start).not_valid_after(start.replace(year=2120))
+    return built.sign(key, hashes.SHA256()), key
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """Carries one or more connections over a socket: sends what they want sent and keeps their timers."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timers: dict[QuicConnection, asyncio.TimerHandle] = {}
+
+    async def open(self) -> Address:
+        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        return cast(Address, transport.get_extra_info("sockname"))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        for timer in self.timers.values():
+            timer.cancel()
+
+    def flush(self, connection: QuicConnection) -> None:
+        event = connection.next_event()
+        while event is not None:
+            self.happened(connection, event)
+            event = connection.next_event()
+        for data, address in connection.datagrams_to_send(self.loop.time()):
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.sendto(data, address)
+        if connection in self.timers:
+            self.timers.pop(connection).cancel()
+        at = connection.get_timer()
+        if at is not None:
+            self.timers[connection] = self.loop.call_at(at, self._due, connection)
+
+    def _due(self, connection: QuicConnection) -> None:
+        connection.handle_timer(self.loop.time())
+        self.flush(connection)
+
+    def happened(self, connection: QuicConnection, event: events.QuicEvent) -> None:
+        raise NotImplementedError
+
+
+class NodeConnection(QuicConnection):
+    """Issues ids that name their node and its number for the connection."""
+
+    def __init__(self, server: int, link: int, **options: Any) -> None:
+        super().__init__(**options)
+        self.server, self.link = server, link
+        self._host_cids = [self._named(0)]
+        self.host_cid = self._local_initial_source_connection_id = self._host_cids[0].cid
+
+    def _named(self, sequence: int) -> QuicConnectionId:
+        cid = IDS.encode(self.server, self.link, sequence)
+        return QuicConnectionId(cid, sequence, quic.reset_token(RESET_KEY, cid))
+
+    def _replenish_connection_ids(self) -> None:
+        while len(self._host_cids) < min(8, self._remote_active_connection_id_limit):
+            self._host_cids.append(self._named(self._host_cid_seq))
+            self._host_cid_seq += 1
+
+
+class QuicNode(Endpoint):
+    """Echoes what comes on a stream, with its name before it. `answers`: False keeps it silent."""
+
+    def __init__(self, name: str, answers: bool = True, refuses: bool = False) -> None:
+        super().__init__()
+        self.name, self.answers, self.refuses = name, answers, refuses
+        self.configuration = QuicConfiguration(is_client=False, alpn_protocols=["t"],
+                                               connection_id_length=quic.ID_LENGTH)  # fmt: skip
+        self.configuration.certificate, self.configuration.private_key = certificate()
+        self.links: dict[int, NodeConnection] = {}
+        self.originals: dict[bytes, NodeConnection] = {}
+        self.initials = 0
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        header = quic.parse_header(data)
+        link = IDS.decode(header.destination)
+        connection = self.links.get(link[1]) if link else self.originals.get(header.destination)
+        if connection is None and not header.short:
+            self.initials += 1
+            if self.refuses and self.transport is not None:
+                close = quic.initial_close(header.version, header.destination, header.source, quic.REFUSED, "full")
+                self.transport.sendto(close, addr)
+            if self.refuses or not self.answers:
+                return
+            number = len(self.links) + 1
+            connection = NodeConnection(node_number(self.name), number, configuration=self.configuration,
+                                        original_destination_connection_id=header.destination)  # fmt: skip
+            self.links[number] = self.originals[header.destination] = connection
+        if connection is not None and self.answers:
+            connection.receive_datagram(data, addr, self.loop.time())
+            self.flush(connection)
+
+    def happened(self, connection: QuicConnection, event: events.QuicEvent) -> None:
+        if isinstance(event, events.StreamDataReceived):
+            connection.send_stream_data(event.stream_id, self.name.encode() + b":" + event.data)
+
+
+class QuicClient(Endpoint):
+    def __init__(self, relay: Address) -> None:
+        super().__init__()
+        configuration = QuicConfiguration(is_client=True, alpn_protocols=["t"], verify_mode=ssl.CERT_NONE,
+                                          server_name="node.test")  # fmt: skip
+        self.connection, self.relay = QuicConnection(configuration=configuration), relay
+        self.stream = 0
+        self.got: asyncio.Queue[bytes] = asyncio.Queue()
+        self.ended: asyncio.Future[events.ConnectionTerminated] = self.loop.create_future()
+        self.up: asyncio.Future[None] = self.loop.create_future()
+        self.reset: asyncio.Future[None] = self.loop.create_future()  # a Stateless Reset with the right token
+        self.datagrams: list[bytes] = []
+        self.first: list[bytes] = []
+
+    async def start(self) -> QuicClient:
+        await self.open()
+        self.connection.connect(self.relay, self.loop.time())
+        self.first = [data for data, _ in self.connection.datagrams_to_send(self.loop.time())]
+        self.repeat()
+        self.flush(self.connection)
+        return self
+
+    def repeat(self) -> None:
+        """Send the first flight (again)."""
+        for data in self.first:
+            self.raw(data)
+
+    def raw(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.sendto(data, self.relay)
+
+    async def rebind(self) -> None:
+        """As a phone that leaves one network for another: the same connection from a new port."""
+        assert self.transport is not None
+        self.transport.abort()
+        await self.open()
+
+    async def ask(self, data: bytes) -> bytes:
+        self.connection.send_stream_data(self.stream, data)
+        self.flush(self.connection)
+        return await asyncio.wait_for(self.got.get(), 5.0)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        self.datagrams.append(data)
+        token = quic.reset_token(RESET_KEY, self.connection._peer_cid.cid)
+        if not data[0] & 0x80 and data.endswith(token) and not self.reset.done():
+            assert token == self.connection._peer_cid.stateless_reset_token
+            self.reset.set_result(None)
+            return
+        self.connection.receive_datagram(data, addr, self.loop.time())
+        close = self.connection._close_event  # told as an event only after the closing period
+        if close is not None and not self.ended.done():
+            self.ended.set_result(close)
+        self.flush(self.connection)
+
+    def happened(self, connection: QuicConnection, event: events.QuicEvent) -> None:
+        if isinstance(event, events.StreamDataReceived):
+            self.got.put_nowait(event.data)
+        elif isinstance(event, events.HandshakeCompleted):
+            self.up.set_result(None)
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,167 @@
+"""The network round a relay, for the tests: execute nodes, the machine list, submitters, and the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT_S = 10.0  # no test waits longer for anything; none waits for a time to pass
+SETTINGS: dict[str, Any] = {
+    "azs": ["a", "b"], "zone": 0, "skus": ["m"], "balancers": 1, "slot_no": 0, "discovery": "subscribe", "step_ms": 2.0,
+    "categories": [{"name": "chat", "slo_ms": 800.0, "deadline_ms": 2000.0, "effect": "pure", "group": "all",
+                    "window_ms": 0.0, "points": 1.0, "stream": True}],
+    "realms": [{"name": "acme", "quota_per_s": 5.0, "share": 1.0}],
+    "family_info": {"message_aim_ms": [150.0], "tells_load": True, "tells_delay": True},
+    "limits": {"max_attempts": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0,
+               "connect_timeout_ms": 250.0, "probing": True},
+    "obligations": {"drain_grace_ms": 400.0, "answer_slack_ms": 8.0, "ask_within_ms": 200.0, "cold_share": 0.31,
+                    "cold_ms": 9000.0, "fall_multiple": 3.0, "fall_ms": 1500.0},
+}  # fmt: skip
+
+
+class Peer:
+    """One end of a connection that speaks lines."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def say(self, *lines: str) -> None:
+        self.writer.write("".join(f"{line}\r\n" for line in lines).encode())
+
+    async def hear(self) -> str:
+        """The next line; empty where the connection has ended or broken."""
+        try:
+            return (await asyncio.wait_for(self.reader.readline(), WAIT_S)).decode().rstrip("\r\n")
+        except ConnectionError:
+            return ""
+
+
+class Server:
+    """Hands each connection that comes in to whoever waits for it."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Queue[Peer] = asyncio.Queue()
+        self.port = 0
+
+    async def open(self) -> Server:
+        self.server = await asyncio.start_server(lambda r, w: self.came.put_nowait(Peer(r, w)), "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def next(self) -> Peer:
+        return await asyncio.wait_for(self.came.get(), WAIT_S)
+
+    async def asked(self) -> tuple[Peer, str]:
+        peer = await self.next()
+        return peer, await peer.hear()
+
+
+class World:
+    """One relay, two execute nodes and the machine list."""
+
+    def __init__(self) -> None:
+        self.nodes = {"s-1": Server(), "s-2": Server()}
+        self.list = Server()
+        self.port = 0
+        self.process: asyncio.subprocess.Process
+        self.version = 1
+        self.watch: Peer
+
+    def member(self, name: str, phase: str = "ready") -> dict[str, Any]:
+        return {"id": name, "host_port": f"127.0.0.1:{self.nodes[name].port}", "locality": "a", "flavor": "m",
+                "cell": 1, "phase": phase, "size": 1.0, "up_since_ms": 0}  # fmt: skip
+
+    def members(self, complete: bool, *members: dict[str, Any]) -> bytes:
+        self.version += 1
+        line = json.dumps({"revision": self.version, "complete": complete, "members": list(members)}) + "\n"
+        return f"{len(line):x}\r\n{line}\r\n".encode()
+
+    async def watched(self) -> str:
+        """The relay's next watch; its request line."""
+        self.watch = await self.list.next()
+        request = await self.watch.hear()
+        while await self.watch.hear():
+            pass
+        return request
+
+    def tell(self, name: str, phase: str) -> None:
+        self.watch.writer.write(self.members(False, self.member(name, phase)))
+
+    def answer_watch(self, *members: dict[str, Any]) -> None:
+        self.watch.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self.members(True, *members))
+
+    async def submitter(self, *lines: str) -> Peer:
+        peer = Peer(*await asyncio.open_connection("127.0.0.1", self.port))
+        peer.say(*lines)
+        return peer
+
+    async def job(self, more: str = "", wait_ms: int = 1500) -> Peer:
+        return await self.submitter(f"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d={wait_ms},g=5c0f{more}")
+
+    async def placed(self) -> tuple[str, Peer, str]:
+        """The node that the next attempt reaches, the connection, and its first line."""
+        waits = {asyncio.ensure_future(node.asked()): name for name, node in self.nodes.items()}
+        done, rest = await asyncio.wait(waits, timeout=WAIT_S, return_when=asyncio.FIRST_COMPLETED)
+        for wait in rest:
+            wait.cancel()
+        (first,) = done
+        return waits[first], *first.result()
+
+    async def standing(self) -> tuple[Peer, str, Peer]:
+        submitter = await self.job()
+        name, node, _ = await self.placed()
+        node.say("UP r1")
+        assert await submitter.hear() == "UP r1"
+        return submitter, name, node
+
+    def stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@asynccontextmanager
+async def relay(tmp: Path, operator: str = "", **changes: Any) -> AsyncIterator[World]:
+    """The real program, serving; it is told of both nodes in its cached list."""
+    world = World()
+    for server in (*world.nodes.values(), world.list):
+        await server.open()
+    world.port = free_port()
+    known = {"revision": 1, "complete": True, "members": [world.member(n) for n in world.nodes]}
+    config = {"name": "n0", "listen": f"127.0.0.1:{world.port}", "discovery": f"127.0.0.1:{world.list.port}",
+              "seed": "8c1f30d27a5be964", "settings": SETTINGS | changes, "known": known}  # fmt: skip
+    (tmp / "config.json").write_text(json.dumps(config))
+    (tmp / "operator.toml").write_text(operator)
+    told = {"ROUTER_CONFIG": str(tmp / "config.json"), "YARROWSPINDLE_OPERATOR": str(tmp / "operator.toml")}
+    env = os.environ | told
+    world.process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)  # fmt: skip
+    log = world.process.stderr
+    assert log is not None
+    end = time.monotonic() + WAIT_S
+    while b"serves at" not in await asyncio.wait_for(log.readline(), WAIT_S):
+        assert time.monotonic() < end
+    reading = asyncio.ensure_future(log.read())
+    try:
+        yield world
+        assert world.process.returncode in (None, 0), "the relay stays up"
+    finally:
+        if world.process.returncode is None:
+            world.process.kill()
+            await world.process.wait()
+        world.errors = (await reading).decode()  # type: ignore[attr-defined]
+        assert "Traceback" not in world.errors, world.errors  # type: ignore[attr-defined]
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,182 @@
+"""The real program on real sockets, against stand-ins for submitters, execute nodes and the machine list."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.stand_ins import SETTINGS, WAIT_S, World, relay
+
+
+def run(tmp: Path, body: Callable[[World], Awaitable[None]], operator: str = "", **changes: Any) -> None:
+    async def inside() -> None:
+        async with relay(tmp, operator, **changes) as world:
+            await body(world)
+
+    asyncio.run(inside())
+
+
+def test_a_job_is_placed_and_its_lines_flow_both_ways_unchanged(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        ping = await w.submitter("PING")
+        assert await ping.hear() == "PONG"
+        submitter = await w.submitter("OPEN 9b 7f c=chat,t=acme,d=1500,g=5c,zz=1", "early 1", "early 2")
+        _, node, line = await w.placed()
+        head, _, rest = line.partition(",d=")
+        left, _, tail = rest.partition(",")
+        assert head == "OPEN 9b 7f c=chat,t=acme" and tail == "g=5c,zz=1" and 1300 <= int(left) <= 1500
+        node.say("UP r1", "hello", "LOAD 1200.5")
+        assert [await submitter.hear() for _ in range(3)] == ["UP r1", "hello", "LOAD 1200.5"]
+        assert [await node.hear(), await node.hear()] == ["early 1", "early 2"]
+        node.say("BYE")
+        node.writer.close()
+        assert [await submitter.hear(), await submitter.hear()] == ["BYE", ""]
+
+    run(tmp_path, body)
+
+
+@pytest.mark.parametrize("first", ["BUSY", "ERR", "what", ""])
+def test_a_failed_attempt_is_followed_by_another_and_then_by_one_answer(tmp_path: Path, first: str) -> None:
+    async def body(w: World) -> None:
+        submitter = await w.job()
+        for _ in range(2):
+            _, node, line = await w.placed()
+            assert line.startswith("OPEN 9b1f03aa5c7e2d41")
+            if first:
+                node.say(first)
+            node.writer.close()
+        _, node, _ = await w.placed()
+        node.say("BUSY")
+        word, _, after = (await submitter.hear()).partition(" ")
+        assert word == "BUSY" and 1000 <= int(after) <= 2000
+        assert await submitter.hear() == ""
+
+    run(tmp_path, body)
+
+
+def test_at_the_deadline_the_answer_comes_and_the_attempt_is_given_up(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        start = time.monotonic()
+        submitter = await w.job(wait_ms=300)
+        _, node, _ = await w.placed()
+        assert (await submitter.hear()).startswith("BUSY") and 0.25 < time.monotonic() - start < 0.35
+        assert await node.hear() == "", "the attempt is given up"
+
+    run(tmp_path, body)
+
+
+def test_a_submitter_that_leaves_ends_its_attempt_and_its_connection(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        submitter = await w.job()
+        _, node, _ = await w.placed()
+        submitter.writer.close()
+        assert await node.hear() == ""
+        submitter, _, node = await w.standing()
+        submitter.writer.close()
+        assert await node.hear() == ""
+
+    run(tmp_path, body)
+
+
+def test_a_node_that_breaks_off_ends_the_submitter_within_a_second(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        submitter, _, node = await w.standing()
+        start = time.monotonic()
+        node.writer.transport.abort()
+        assert await submitter.hear() == "" and time.monotonic() - start < 1.0
+
+    run(tmp_path, body)
+
+
+def test_a_silent_node_loses_its_connections_by_a_move_within_seven_seconds(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        submitter, _, _ = await w.standing()
+        start = time.monotonic()
+        submitter.say("anyone there?")
+        assert await submitter.hear() == "MOVE" and 4.0 < time.monotonic() - start < 7.0
+
+    run(tmp_path, body)
+
+
+def test_a_connection_from_before_the_run_goes_to_the_node_that_held_it(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        for _ in range(4):
+            submitter = await w.job(",at=s-2")
+            node, line = await w.nodes["s-2"].asked()
+            assert line.endswith(",at=s-2")
+            node.say("UP r9")
+            assert await submitter.hear() == "UP r9"
+        submitter = await w.job(",at=nobody")
+        assert await submitter.hear() == "BUSY"
+
+    run(tmp_path, body)
+
+
+def test_the_list_is_watched_and_obeyed_and_watched_again_when_it_falls_silent(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        assert await w.watched() == "GET /api/targets?stream=1&index=1 HTTP/1.1"
+        w.answer_watch(w.member("s-1"), w.member("s-2"))
+        w.tell("s-1", "draining")
+        w.tell("s-2", "gone")
+        while (answer := await (await w.job(wait_ms=300)).hear()) == "":  # nodes hold their answers meanwhile
+            pass
+        assert answer.startswith("BUSY")
+        assert await w.watched() == f"GET /api/targets?stream=1&index={w.version} HTTP/1.1"
+        w.answer_watch(w.member("s-2"))
+        assert await asyncio.wait_for(first_at(w, "s-2"), WAIT_S)
+
+    async def first_at(w: World, name: str) -> bool:
+        while True:
+            submitter = await w.job()
+            if (await w.placed())[0] == name:
+                return True
+            submitter.writer.close()
+
+    run(tmp_path, body)
+
+
+def test_a_stop_moves_everyone_and_ends_in_time_while_new_jobs_are_served(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        first, _, node = await w.standing()
+        w.stop()
+        start = time.monotonic()
+        late, _, _ = await w.standing()
+        assert await first.hear() == "MOVE" and await late.hear() == "MOVE"
+        assert await node.hear() == ""
+        assert await asyncio.wait_for(w.process.wait(), WAIT_S) == 0 and time.monotonic() - start < 3.7
+
+    run(tmp_path, body)
+
+
+def test_bad_lines_end_their_own_connection_and_no_other(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        submitter, _, node = await w.standing()
+        for bad in ("GET / HTTP/1.1", "OPEN 1 2 c=none,d=5", "OPEN 1 2 c=chat,d=x", "OPEN 1 zz c=chat,d=5", "x" * 5000):
+            assert await (await w.submitter(bad)).hear() == "ERR"
+        silent = await w.submitter()
+        silent.writer.transport.abort()
+        submitter.say("still here")
+        assert await node.hear() == "still here"
+        await w.watched()
+        w.watch.writer.write(b"HTTP/1.1 200 OK\r\n\r\nnot a list\n")
+        await w.watched()  # asked again
+        w.watch.writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        await w.watched()
+        node.say("and here")
+        assert await submitter.hear() == "and here"
+
+    run(tmp_path, body)
+
+
+def test_settings_that_make_no_sense_end_the_program_with_one_line(tmp_path: Path) -> None:
+    async def inside() -> None:
+        with pytest.raises(AssertionError):
+            async with relay(tmp_path, **{"obligations": SETTINGS["obligations"] | {"cold_share": 0.0}}):
+                pass
+
+    asyncio.run(inside())
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,115 @@
+"""Lines, the machine list, Graphite and collectd: bytes in, bytes out."""
+
+from __future__ import annotations
+
+import struct
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yarrowspindle.interface import ListKind, State
+from yarrowspindle.program.config import ConfigError, QuicConfig, flatten, read_operator
+from yarrowspindle.protocol import collectd, graphite, lines
+from yarrowspindle.protocol.lines import LineError, Lines, Word, load_of, parse_open, requeue_notice, word_of
+from yarrowspindle.protocol.machines import ListError, Names, WatchAnswer
+from yarrowspindle.routing.messages import ListTold
+
+LINE = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59"
+LIST = (b'{"revision":41,"complete":true,"members":[{"id":"s-5be2a07c","host_port":"10.1.0.18:3000","locality":"b",'
+        b'"flavor":"m2","cell":3,"phase":"draining","size":1.5,"up_since_ms":7}]}\n')  # fmt: skip
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def test_the_open_line_goes_on_as_it_came_but_for_the_time_left() -> None:
+    opened = parse_open(LINE.encode())
+    assert opened.forward(1234.9).decode() == LINE.replace("d=2000", "d=1234") + "\r\n"
+    assert opened.key == 0x7F3A9C21E0B4D655 and opened.get("t") == "acme" and opened.number("h") == 0.0
+
+
+@pytest.mark.parametrize("bad", ["", "OPEN", LINE + " x", LINE.replace("d=2000", "d=-1"), LINE.replace(",d=2000", ""),
+                                 LINE.replace("2000", "nan"), LINE.replace("=", ""), "GET / HTTP/1.1 x", "OPEN \xe9"])
+def test_a_bad_open_line_is_told_from_a_good_one(bad: str) -> None:
+    with pytest.raises(LineError):
+        parse_open(bad.encode("latin-1"))
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.lists(st.text("ab ", max_size=5), max_size=6), st.lists(st.integers(0, 40), max_size=5))
+def test_lines_are_the_same_wherever_the_stream_is_cut(texts: list[str], cuts: list[int]) -> None:
+    data, cutter, found, at = "".join(t + "\r\n" for t in texts).encode() + b"rest", Lines(), [], 0
+    for cut in [*sorted(cuts), len(data)]:
+        found += cutter.feed(data[at:cut])
+        at = max(at, cut)
+    assert found == [t.encode() for t in texts] and cutter.rest == b"rest" and not cutter.between
+
+
+def test_words_loads_and_notices() -> None:
+    assert [word_of(w) for w in (b"UP r", b"BYE", b"MOVE", b"ERR", b"BUSY 3", b"LOAD 2", b"UPS", b"")] == [
+        Word.UP, Word.BYE, Word.MOVE, Word.ERR, Word.BUSY, Word.LOAD, Word.OTHER, Word.OTHER]  # fmt: skip
+    assert [load_of(b) for b in (b"LOAD 2.5", b"LOAD", b"LOAD x", b"LOAD -1", b"LOAD nan")] == [2.5] + 4 * [None]
+    assert requeue_notice(0.0) == b"BUSY\r\n" and requeue_notice(1499.6) == b"BUSY 1500\r\n"
+    with pytest.raises(LineError):
+        Lines().feed(b"x" * (lines.LONGEST + 1))
+
+
+@settings(derandomize=True, max_examples=30)
+@given(st.integers(1, 60), st.integers(1, 60))
+def test_a_watch_is_read_wherever_it_is_cut(first: int, then: int) -> None:
+    body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in (LIST[:30], LIST[30:], b"\n", LIST))
+    data, answer, told = HEAD + body, WatchAnswer(Names(["a", "b"], ["m1", "m2"])), list[ListTold]()
+    for at in range(0, len(data), first + then):
+        told += answer.feed(data[at : at + first])
+        told += answer.feed(data[at + first : at + first + then])
+    assert len(told) == 2 and told[0].kind is ListKind.FULL and told[0].version == 41 and not answer.ended
+    (m,) = told[0].machines
+    assert (m.name, m.address, m.state, m.zone, m.kind, m.cell, m.capacity, m.started_ms) == (
+        "s-5be2a07c", ("10.1.0.18", 3000), State.DRAINING, 1, 1, 3, 1.5, 7.0)  # fmt: skip
+
+
+@pytest.mark.parametrize("bad", [
+    b"HTTP/1.1 503 Busy\r\n\r\n", b"nonsense\r\n\r\n", HEAD + b"2\r\n{\n\r\n", HEAD + b"3\r\n[]\n\r\n",
+    HEAD + b"%x\r\n%s\r\n" % (len(LIST), LIST.replace(b"draining", b"sleeping")),
+    HEAD + b"%x\r\n%s\r\n" % (len(LIST) - 5, LIST.replace(b":3000", b"")),
+])  # fmt: skip
+def test_an_answer_that_makes_no_sense_fails_the_watch(bad: bytes) -> None:
+    with pytest.raises(ListError):
+        WatchAnswer(Names()).feed(bad)
+
+
+def test_settings_are_flattened_as_the_simulator_writes_them() -> None:
+    nested = {"a": {"b": [1.0, 2.0], "c": None}, "list": [{"x": True}, {"x": "y"}], "none": []}
+    assert dict(flatten(nested)) == {"a.b": "1.0,2.0", "a.c": "null", "list.count": "2", "list.0.x": "true",
+                                     "list.1.x": "y", "none": ""}  # fmt: skip
+
+
+def test_the_operators_file() -> None:
+    quic = f'[quic]\nlisten = "127.0.0.1:4433"\nid_key = "{"00" * 16}"\nreset_key = "{"11" * 32}"\nidle_s = 5\n'
+    assert read_operator("").quic is None
+    assert read_operator(quic).quic == QuicConfig(("127.0.0.1", 4433), bytes(16), b"\x11" * 32, idle_s=5)
+    for bad in ("[quic]\n", quic.replace("00", "0"), quic + "x = 1\n", "nonsense", quic.replace('"127', '1"127')):
+        with pytest.raises(ConfigError):
+            read_operator(bad)
+
+
+def test_graphite_has_one_plain_line_for_each_value() -> None:
+    assert graphite.plaintext("ys.n 0", {"a.b": 3.0, "c/d": 0.5}, 17.9) == b"ys.n_0.a.b 3 17\nys.n_0.c_d 0.5 17\n"
+
+
+def parts(packet: bytes) -> list[tuple[int, bytes]]:
+    found, at = [], 0
+    while at < len(packet):
+        kind, length = struct.unpack_from(">HH", packet, at)
+        found.append((kind, packet[at + 4 : at + length]))
+        at += length
+    return found
+
+
+def test_collectd_packets_hold_all_values_in_parts_and_stay_small() -> None:
+    counters = {f"c{i}": i for i in range(100)}
+    made = list(collectd.packets("n0", counters, {"g": 2.5}, 10.5, 10.0))
+    assert len(made) > 1 and max(map(len, made)) <= collectd.LARGEST
+    assert all(parts(p)[0] == (0, b"n0\0") and parts(p)[1] == (8, struct.pack(">Q", 21 << 29)) for p in made)
+    values = [body for p in made for kind, body in parts(p) if kind == collectd.VALUES]
+    assert values[7] == b"\0\1\2" + (7).to_bytes(8, "big") and values[-1] == b"\0\1\1" + struct.pack("<d", 2.5)
+    assert len(values) == 101
--- /dev/null
+++ b/tests/test_quic_front.py
@@ -0,0 +1,220 @@
+"""The QUIC front over loopback: real sockets, aioquic's endpoints on both sides, the relay's front between."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from tests.quic_stand_ins import ID_KEY, IDS, RESET_KEY, QuicClient, QuicNode
+from yarrowspindle.interface import ListKind, RequestClass, Settings, State
+from yarrowspindle.program.clock import Clock
+from yarrowspindle.program.config import Config, QuicConfig
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.quic_front import QuicFront
+from yarrowspindle.protocol import quic
+from yarrowspindle.routing.messages import Address, ListTold, Machine
+
+
+@dataclass
+class World:
+    nodes: list[QuicNode]
+    hub: Hub
+    front: QuicFront
+    relay: Address
+    machines: dict[str, Machine]
+    clients: list[QuicClient] = field(default_factory=list)
+
+    async def client(self) -> QuicClient:
+        self.clients.append(await QuicClient(self.relay).start())
+        return self.clients[-1]
+
+    async def up(self) -> QuicClient:
+        client = await self.client()
+        await asyncio.wait_for(client.up, 5.0)
+        return client
+
+    def list(self, name: str, state: State) -> None:
+        self.machines[name].state = state
+        self.hub.post(ListTold(ListKind.DELTA, [self.machines[name]]))
+
+    def node_of(self, answer: bytes) -> str:
+        return answer.split(b":")[0].decode()
+
+
+def run(body: Callable[[World], Awaitable[None]], *nodes: dict[str, Any], started: float = 0.0,
+        class_ms: float = 3000.0, max_connections: int = 50, **changes: Any) -> None:  # fmt: skip
+    async def inside() -> None:
+        made = [QuicNode(f"node-{i}", **options) for i, options in enumerate(nodes)]
+        machines = {}
+        for i, node in enumerate(made):
+            machines[node.name] = Machine(node.name, await node.open(), started_ms=started if i == 0 else 0.0)
+        settings = Settings(classes=(RequestClass(800.0, class_ms),), max_attempts=3, may_cancel=True, retry_after=True,
+                            max_retry_after_ms=2000.0, **changes)  # fmt: skip
+        known = ListTold(ListKind.CACHED, list(machines.values()))
+        hub = Hub(Config("n0", ("127.0.0.1", 0), ("127.0.0.1", 1), 5, settings, known), Clock())
+        hub.start()
+        front = QuicFront(hub, QuicConfig(("127.0.0.1", 0), ID_KEY, RESET_KEY, answer_ms=400.0,
+                                          max_connections=max_connections))  # fmt: skip
+        await front.start()
+        assert front.front.transport is not None
+        world = World(made, hub, front, front.front.transport.get_extra_info("sockname"), machines)
+        try:
+            await body(world)
+        finally:
+            for end in (*made, *world.clients):
+                end.close()
+            front.front.transport.abort()
+
+    asyncio.run(inside())
+
+
+def test_streams_go_on_at_their_node_while_clients_rebind_their_ports() -> None:
+    async def body(w: World) -> None:
+        clients = [await w.up() for _ in range(6)]
+        homes = [w.node_of(await c.ask(b"0")) for c in clients]
+        for step in range(1, 4):
+            for client in clients:
+                await client.rebind()
+            answers = await asyncio.gather(*(c.ask(b"%d" % step) for c in clients))
+            assert answers == [f"{home}:{step}".encode() for home in homes]
+        assert sum(len(n.links) for n in w.nodes) == 6, "no connection was set up twice"
+        assert all(c.got.empty() and not c.ended.done() for c in clients), "nothing was answered twice"
+        assert len(set(homes)) == 2
+        counted = {s.open for s in w.hub.reducer.balancer.servers.values()}
+        assert counted == {homes.count("node-0"), homes.count("node-1")}
+
+    run(body, {}, {})
+
+
+def test_a_known_id_reaches_a_draining_node_until_it_is_gone_and_a_new_job_never() -> None:
+    async def body(w: World) -> None:
+        first = await w.up()
+        home = w.node_of(await first.ask(b"a"))
+        w.list(home, State.DRAINING)
+        await first.rebind()
+        assert await first.ask(b"b") == f"{home}:b".encode()
+        others = [await w.up() for _ in range(5)]
+        assert home not in [w.node_of(await c.ask(b"c")) for c in others]
+        w.list(home, State.GONE)
+        await asyncio.wait_for(first.reset, 5.0)
+        assert len(w.front.flows) == 5
+
+    run(body, {}, {})
+
+
+def test_a_refused_client_gets_one_close_with_advice_and_never_a_second() -> None:
+    async def body(w: World) -> None:
+        client = await w.client()
+        event = await asyncio.wait_for(client.ended, 5.0)
+        assert event.error_code == quic.REFUSED and event.reason_phrase.startswith("retry after ")
+        assert [n.initials for n in w.nodes] == [3], "as many attempts as the settings allow, one after another"
+        client.repeat()
+        await asyncio.wait_for((await w.client()).ended, 5.0)  # later than whatever the repeat brings
+        assert len(client.datagrams) == 1 and w.front.counts["answered_before"] > 0
+
+    run(body, {"refuses": True})
+
+
+def test_at_the_deadline_the_answer_is_a_close() -> None:
+    async def body(w: World) -> None:
+        start = time.monotonic()
+        event = await asyncio.wait_for((await w.client()).ended, 5.0)
+        assert event.error_code == quic.REFUSED and 0.2 < time.monotonic() - start < 0.4
+        assert not w.front.flows and not w.hub.reducer.jobs
+
+    run(body, {"answers": False}, class_ms=250.0)
+
+
+def test_a_dead_node_costs_an_attempt_and_not_the_connection() -> None:
+    async def body(w: World) -> None:
+        w.nodes[0].close()
+        for _ in range(6):
+            assert w.node_of(await (await w.up()).ask(b"x")) == "node-1"
+
+    run(body, {}, {})
+
+
+def test_a_silent_node_is_given_up_after_its_time() -> None:
+    async def body(w: World) -> None:
+        for _ in range(3):
+            assert w.node_of(await (await w.up()).ask(b"x")) == "node-1"
+        assert w.nodes[0].initials <= 3
+
+    run(body, {"answers": False}, {})
+
+
+def test_a_node_that_dies_under_its_connections_ends_them_with_a_reset() -> None:
+    async def body(w: World) -> None:
+        client = await w.up()
+        home = w.node_of(await client.ask(b"x"))
+        next(n for n in w.nodes if n.name == home).close()
+        client.connection.send_stream_data(0, b"y")
+        client.flush(client.connection)
+        await asyncio.wait_for(client.reset, 5.0)
+        assert not w.front.flows
+
+    run(body, {}, {})
+
+
+def test_a_relay_that_starts_anew_passes_known_ids_on() -> None:
+    async def body(w: World) -> None:
+        client = await w.up()
+        home = w.node_of(await client.ask(b"x"))
+        for flow in list(w.front.flows.values()):  # as after a restart: the table is empty
+            w.front._forget(flow, answered=False)
+        w.hub.reducer.jobs.clear()
+        assert await client.ask(b"y") == f"{home}:y".encode()
+        assert w.front.counts["taken_over"] == 1
+
+    run(body, {}, {})
+
+
+def test_a_cold_node_gets_no_more_than_its_budget() -> None:
+    async def body(w: World) -> None:
+        for _ in range(20):
+            await w.up()
+        assert len(w.nodes[0].links) <= 3
+
+    cold: dict[str, Any] = {"cold_ms": 60_000.0, "cold_share": 0.31, "fall_multiple": 3.0, "fall_ms": 1500.0}
+    run(body, {}, {}, started=time.time() * 1000.0, **cold)
+
+
+def test_the_table_is_bounded_and_idle_ids_expire() -> None:
+    async def body(w: World) -> None:
+        await w.up()
+        client = await w.client()
+        while not w.front.counts["no_room"]:
+            await asyncio.sleep(0)
+        assert not client.up.done() and len(w.front.flows) == 1
+        (flow,) = w.front.flows.values()
+        flow.heard -= w.front.config.idle_s
+        w.front._sweep()
+        assert not w.front.flows and not w.front.by_id and not w.front.by_link
+        assert [s.open for s in w.hub.reducer.balancer.servers.values()] == [0]
+
+    run(body, {}, max_connections=1)
+
+
+def test_what_makes_no_sense_is_dropped_and_counted() -> None:
+    async def body(w: World) -> None:
+        client = await w.up()
+        bad = [b"", b"\x40", b"\xc0\0\0\0\1\xff", b"\xc0\0\0\0\1\x08abcdefgh\x08abcdefgh\0\x41", b"\x40" + b"z" * 40]
+        for data in bad:
+            w.front.from_client(data, ("127.0.0.1", 9))
+        assert w.front.counts["malformed"] == 4 and w.front.counts["unknown_id"] == 1
+        assert await client.ask(b"x")
+        other = b"\xc0\x0a\x0a\x0a\x0a\x08abcdefgh\x08abcdefgh" + bytes(1200)
+        client.raw(other)
+        assert w.front.ids.decode(b"\x10" + bytes(16)) is not None and len(w.front.flows) == 1
+
+    run(body, {})
+
+
+def test_an_id_names_its_node_and_connection_and_hides_them() -> None:
+    ids = {IDS.encode(7, 9, sequence) for sequence in range(50)}
+    assert len(ids) == 50 and {IDS.decode(cid) for cid in ids} == {(7, 9)}
+    assert quic.NodeIds(bytes(16)).decode(next(iter(ids))) != (7, 9)
+    assert quic.stateless_reset(bytes(16), 21) is None and len(quic.stateless_reset(bytes(16), 1200) or b"") == 43
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -78,6 +79,79 @@
         raise ConfigError(f"the configuration makes no sense: {error!r}") from error
 
 
+@dataclass(slots=True, frozen=True)
+class QuicConfig:
+    listen: Address
+    id_key: bytes  # of the connection ids that nodes issue
+    reset_key: bytes  # of the Stateless Reset tokens
+    node_port: int = 0  # 0: the port that the machine list gives
+    deadline_ms: float = 0.0  # 0: the first class's
+    answer_ms: float = 1000.0  # a node that has not answered by then is given up
+    idle_s: float = 30.0
+    max_connections: int = 400
+
+
+@dataclass(slots=True, frozen=True)
+class MetricsConfig:
+    graphite: Address | None = None
+    collectd: Address | None = None
+    prefix: str = "yarrowspindle"
+    interval_s: float = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """What the operator's file switches on; all of it is off without one."""
+
+    log_level: str = "INFO"
+    quic: QuicConfig | None = None
+    metrics: MetricsConfig | None = None
+
+
+def read_operator(text: str) -> Operator:
+    try:
+        data = tomllib.loads(text)
+        unknown = data.keys() - {"log", "quic", "metrics"}
+        if unknown:
+            raise ValueError(f"unknown sections: {sorted(unknown)}")
+        return Operator(
+            str(data.get("log", {}).get("level", "INFO")),
+            read_quic(dict(data["quic"])) if "quic" in data else None,
+            read_metrics(dict(data["metrics"])) if "metrics" in data else None,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, ListError) as error:
+        raise ConfigError(f"the operator's file makes no sense: {error!r}") from error
+
+
+def read_quic(section: dict[str, Any]) -> QuicConfig:
+    listen = parse_address(section.pop("listen"))
+    id_key, reset_key = bytes.fromhex(section.pop("id_key")), bytes.fromhex(section.pop("reset_key"))
+    quic = QuicConfig(listen, id_key, reset_key, **section)
+    if len(id_key) != 16 or len(reset_key) < 16 or quic.max_connections < 1 or quic.idle_s <= 0.0:
+        raise ValueError("id_key has 16 bytes, reset_key at least 16; max_connections and idle_s are positive")
+    return quic
+
+
+def read_metrics(section: dict[str, Any]) -> MetricsConfig:
+    for name in ("graphite", "collectd"):
+        if name in section:
+            section[name] = parse_address(section[name])
+    metrics = MetricsConfig(**section)
+    if metrics.interval_s <= 0.0:
+        raise ValueError("interval_s is positive")
+    return metrics
+
+
+def load_operator(environ: Mapping[str, str] = os.environ) -> Operator:
+    path = environ.get("YARROWSPINDLE_OPERATOR")
+    if not path:
+        return Operator()
+    try:
+        return read_operator(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path} cannot be read: {error}") from error
+
+
 def load_config(environ: Mapping[str, str] = os.environ) -> Config:
     path = environ.get("ROUTER_CONFIG")
     if not path:
--- a/yarrowspindle/program/relay.py
+++ b/yarrowspindle/program/line_front.py
@@ -1,17 +1,14 @@
-"""The wiring: reports of the transports become events, effects of the reducer become calls on transports."""
+"""The platform's front: reports of its transports become events, effects become calls on transports."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
 
-from yarrowspindle.interface import ListKind
-from yarrowspindle.program.clock import Clock, Timers
-from yarrowspindle.program.config import Config
+from yarrowspindle.program.hub import Hub
 from yarrowspindle.protocol import lines
 from yarrowspindle.protocol.lines import LineError, Open, hexadecimal
 from yarrowspindle.routing.ending import Ending
@@ -24,90 +21,45 @@
     Deny,
     Drop,
     Effect,
-    Event,
     JobArrived,
     Join,
-    ListTold,
     LoadTold,
     Move,
     NodeReached,
     NodeUp,
-    Note,
     Reach,
     Requeue,
-    Stop,
     SubmitterLeft,
-    Unwake,
-    Wake,
-    Watch,
-    Woke,
 )
-from yarrowspindle.routing.reducer import Reducer
-from yarrowspindle.transport.machine_list import WatchSide
 from yarrowspindle.transport.node import NodeSide
 from yarrowspindle.transport.submitter import Submitter
 
-WATCH_CONNECT_S = 2.0
+BACKLOG = 1024
 
 
-class Relay:
-    def __init__(self, config: Config, clock: Clock) -> None:
-        self.config, self.clock = config, clock
-        self.reducer = Reducer(config.settings, config.seed, clock.now())
-        self.timers = Timers(lambda what: self.post(Woke(what)))
+class LineFront:
+    def __init__(self, hub: Hub) -> None:
+        self.hub, self.config = hub, hub.config
         self.submitters: dict[int, Submitter] = {}
         self.opened: dict[int, Open] = {}  # lines of jobs that may still be sent on
         self.nodes: dict[int, NodeSide] = {}  # of each job's attempt that is out, or its standing connection
         self.reaching: dict[int, asyncio.Task[None]] = {}
-        self.watch: WatchSide | None = None
-        self.watching: asyncio.Task[None] | None = None
-        self.jobs = 0
-        self.queue: deque[Event] = deque()
-        self.busy = False
         self.effects: dict[type, Callable[[Any], None]] = {
             Reach: self._reach, Ask: self._ask, Drop: self._drop, Join: self._join, Requeue: self._requeue,
-            Deny: self._deny, Move: self._move, Close: self._close, Watch: self._watch,
-            Wake: lambda e: self.timers.set(e.delay_ms, e.what), Unwake: lambda e: self.timers.cancel(e.what),
-            Note: lambda e: logger.info("{}", e.text),
+            Deny: self._deny, Move: self._move, Close: self._close,
         }  # fmt: skip
 
-    def start(self) -> None:
-        self.post(self.config.known)
-
-    def stop(self, within_ms: float) -> None:
-        self.post(Stop(within_ms))
-
-    @property
-    def idle(self) -> bool:
-        return not self.reducer.jobs
-
-    def post(self, event: Event) -> None:
-        """One event at a time: what an effect brings about at once waits until all effects are carried out."""
-        self.queue.append(event)
-        if self.busy:
-            return
-        self.busy = True
-        try:
-            while self.queue:
-                event = self.queue.popleft()
-                for effect in self._step(event):
-                    self._carry_out(effect)
-        finally:
-            self.busy = False
-
-    def _step(self, event: Event) -> list[Effect]:
-        try:
-            return self.reducer.step(self.clock.now(), event)
-        except Exception:  # one event that the core cannot take must not end the others' connections
-            logger.exception("the reducer failed on {!r}", event)
-            effects, self.reducer.effects = self.reducer.effects, []
-            return effects
+    async def start(self) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Submitter(self), *self.config.listen, backlog=BACKLOG)
+        self.hub.fronts.append(self)
+        logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
+        return server
 
-    def _carry_out(self, effect: Effect) -> None:
-        try:
-            self.effects[type(effect)](effect)
-        except Exception:
-            logger.exception("an effect failed: {!r}", effect)
+    def carry_out(self, effect: Effect) -> None:
+        handler = self.effects.get(type(effect))
+        if handler is not None:  # a node that is gone ends its connections itself
+            handler(effect)
 
     # --- reports of submitters ------------------------------------------------------------------
 
@@ -117,21 +69,20 @@
             cls, tenant = config.classes.index(opened.get("c")), opened.get("t")
         except ValueError:
             raise LineError("a class that the settings do not name") from None
-        self.jobs += 1
-        side.job = self.jobs
+        side.job = self.hub.new_job(self)
         self.submitters[side.job], self.opened[side.job] = side, opened
         group = opened.get("g")
-        self.post(JobArrived(
+        self.hub.post(JobArrived(
             side.job, opened.number("d"), cls, config.tenants.index(tenant) if tenant in config.tenants else 0,
             opened.key, opened.number("h"), hexadecimal(group) if group else 0,
             opened.get("r") == "1", opened.get("again") == "1", opened.get("at"),
         ))  # fmt: skip
 
     def job_asked(self, job: int) -> None:
-        self.post(Asked(job))
+        self.hub.post(Asked(job))
 
     def job_left(self, job: int) -> None:
-        self.post(SubmitterLeft(job))
+        self.hub.post(SubmitterLeft(job))
 
     def submitter_lost(self, side: Submitter) -> None:
         if self.submitters.get(side.job) is side:
@@ -143,46 +94,21 @@
     # --- reports of execute nodes ---------------------------------------------------------------
 
     def node_reached(self, side: NodeSide) -> None:
-        self.post(NodeReached(side.job, side.attempt))
+        self.hub.post(NodeReached(side.job, side.attempt))
 
     def node_up(self, side: NodeSide) -> None:
-        self.post(NodeUp(side.job, side.attempt))
+        self.hub.post(NodeUp(side.job, side.attempt))
 
     def node_answered(self, job: int) -> None:
-        self.post(Answered(job))
+        self.hub.post(Answered(job))
 
     def node_load(self, job: int, load: float) -> None:
-        self.post(LoadTold(job, load / 1000.0))
+        self.hub.post(LoadTold(job, load / 1000.0))
 
     def node_over(self, side: NodeSide, ending: Ending) -> None:
         if self.nodes.get(side.job) is side:
             del self.nodes[side.job]
-        self.post(AttemptOver(side.job, side.attempt, ending))
-
-    # --- the machine list -----------------------------------------------------------------------
-
-    def list_told(self, told: ListTold) -> None:
-        self.post(told)
-
-    def watch_over(self, watch: WatchSide, why: str) -> None:
-        if self.watch is watch:
-            self.watch = None
-            logger.warning("the watch on the machine list is over: {}", why)
-            self.post(ListTold(ListKind.FAILED))
-
-    def _watch(self, effect: Watch) -> None:
-        if self.watch is None and (self.watching is None or self.watching.done()):
-            self.watching = asyncio.get_running_loop().create_task(self._open_watch(effect.version))
-
-    async def _open_watch(self, version: int) -> None:
-        host, port = self.config.discovery
-        watch = WatchSide(self, self.config.names, f"{host}:{port}", version)
-        self.watch = watch
-        try:
-            loop = asyncio.get_running_loop()
-            await asyncio.wait_for(loop.create_connection(lambda: watch, host, port), WATCH_CONNECT_S)
-        except OSError as error:  # a time-out among them
-            watch.end(f"no connection: {error!r}")
+        self.hub.post(AttemptOver(side.job, side.attempt, ending))
 
     # --- effects on execute nodes ---------------------------------------------------------------
 
@@ -236,6 +162,7 @@
     def _forget(self, job: int) -> None:
         self.submitters.pop(job, None)
         self.opened.pop(job, None)
+        self.hub.forget(job)
 
     def _requeue(self, effect: Requeue) -> None:
         self._answer(effect.job, lines.requeue_notice(effect.after_ms))
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -11,43 +11,56 @@
 from loguru import logger
 
 from yarrowspindle.program.clock import Clock
-from yarrowspindle.program.config import Config, ConfigError, load_config
-from yarrowspindle.program.relay import Relay
-from yarrowspindle.transport.submitter import Submitter
+from yarrowspindle.program.config import Config, ConfigError, Operator, load_config, load_operator
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.line_front import LineFront
+from yarrowspindle.program.metrics import report
 
-BACKLOG = 1024
 STOP_MS = 2800.0  # SIGKILL comes 3.7 s after SIGTERM at the soonest
 STOP_FLUSH_S = 0.3
 
 
-async def serve(config: Config) -> None:
-    relay = Relay(config, Clock())
-    relay.start()
+async def serve(config: Config, operator: Operator) -> None:
+    hub = Hub(config, Clock())
+    hub.start()
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(lambda: Submitter(relay), *config.listen, backlog=BACKLOG)
-    logger.info("{} serves at {}:{}", config.name, *config.listen)
+    server = await LineFront(hub).start()
+    if operator.quic is not None:
+        from yarrowspindle.program.quic_front import QuicFront  # needs packages that the platform does without
+
+        await QuicFront(hub, operator.quic).start()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    reports = []
+    if operator.metrics is not None:
+        reports.append(loop.create_task(report(hub.metrics, operator.metrics, config.name)))
     gc.collect()
     gc.freeze()  # what is here now stays; collecting it again would only make jobs late
     gc.set_threshold(20_000, 50, 100)
     await stopping.wait()
-    logger.info("asked to stop: {} jobs are here", len(relay.reducer.jobs))
-    relay.stop(STOP_MS)
+    logger.info("asked to stop: {} jobs are here", len(hub.reducer.jobs))
+    hub.stop(STOP_MS)
     await asyncio.sleep(STOP_MS / 1000.0)
     server.close()
     await asyncio.sleep(STOP_FLUSH_S)
-    logger.info("stopped: {} jobs are left", len(relay.reducer.jobs))
+    for task in reports:
+        task.cancel()
+    logger.info("stopped: {} jobs are left", len(hub.reducer.jobs))
 
 
-def main() -> int:
+def log_to(level: str) -> None:
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False)
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False)
+
+
+def main() -> int:
+    log_to("INFO")
     try:
-        config = load_config()
-    except ConfigError as error:
+        config, operator = load_config(), load_operator()
+        log_to(operator.log_level)
+    except (ConfigError, ValueError) as error:
         logger.error("{}", error)
         return 2
-    uvloop.run(serve(config))
+    uvloop.run(serve(config, operator))
     return 0
--- /dev/null
+++ b/yarrowspindle/program/metrics.py
@@ -0,0 +1,60 @@
+"""Counters and gauges of the core's events, sent to Graphite and collectd where the operator's file says so."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+
+from yarrowspindle.program.config import MetricsConfig
+from yarrowspindle.protocol import collectd, graphite
+from yarrowspindle.routing.messages import Address, AttemptOver, Effect, Event
+from yarrowspindle.routing.reducer import Reducer
+from yarrowspindle.routing.state import Phase
+from yarrowspindle.transport.receivers import Datagrams, Receiver
+
+COUNTED = frozenset(("JobArrived", "SubmitterLeft", "ListTold", "Reach", "Ask", "Join", "Requeue", "Deny", "Move",
+                     "Close"))  # fmt: skip
+
+
+class Metrics:
+    def __init__(self, reducer: Reducer) -> None:
+        self.reducer = reducer
+        self.counts: Counter[str] = Counter()
+
+    def event(self, event: Event) -> None:
+        name = type(event).__name__
+        if name in COUNTED:
+            self.counts[f"event.{name}"] += 1
+        elif isinstance(event, AttemptOver):
+            self.counts[f"ending.{event.ending.name.lower()}"] += 1
+
+    def effect(self, effect: Effect) -> None:
+        name = type(effect).__name__
+        if name in COUNTED:
+            self.counts[f"effect.{name}"] += 1
+
+    def gauges(self) -> dict[str, float]:
+        phases = Counter(job.phase for job in self.reducer.jobs.values())
+        found = {f"jobs.{phase.name.lower()}": float(phases[phase]) for phase in Phase if phase is not Phase.OVER}
+        return found | {"nodes": float(len(self.reducer.nodes))}
+
+
+async def report(metrics: Metrics, config: MetricsConfig, name: str) -> None:
+    """Sends a report at each interval until it is cancelled."""
+    receiver = Receiver(config.graphite) if config.graphite else None
+    datagrams = await open_datagrams(config.collectd) if config.collectd else None
+    while True:
+        await asyncio.sleep(config.interval_s)
+        now, gauges = time.time(), metrics.gauges()
+        if receiver is not None:
+            receiver.send(graphite.plaintext(f"{config.prefix}.{name}", {**metrics.counts, **gauges}, now))
+        if datagrams is not None:
+            for packet in collectd.packets(name, metrics.counts, gauges, now, config.interval_s):
+                datagrams.send(packet)
+
+
+async def open_datagrams(address: Address) -> Datagrams:
+    datagrams = Datagrams()
+    await asyncio.get_running_loop().create_datagram_endpoint(lambda: datagrams, remote_addr=address)
+    return datagrams
--- /dev/null
+++ b/yarrowspindle/protocol/collectd.py
@@ -0,0 +1,44 @@
+"""collectd's binary network protocol: parts of type, length and content, in packets of limited size."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator, Mapping
+
+HOST, PLUGIN, TYPE, TYPE_INSTANCE, VALUES = 0x0000, 0x0002, 0x0004, 0x0005, 0x0006
+TIME_HR, INTERVAL_HR = 0x0008, 0x0009
+GAUGE, DERIVE = 1, 2
+LARGEST = 1452  # what collectd itself sends at most, so that no packet is split on the way
+HEAD = struct.Struct(">HH")
+
+
+def text_part(kind: int, text: str) -> bytes:
+    raw = text.encode("utf-8")[:127] + b"\0"
+    return HEAD.pack(kind, HEAD.size + len(raw)) + raw
+
+
+def time_part(kind: int, seconds: float) -> bytes:
+    return HEAD.pack(kind, 12) + struct.pack(">Q", round(seconds * 2**30))  # in units of 2^-30 s
+
+
+def values_part(kind: int, value: float) -> bytes:
+    # A gauge is a little-endian double, a derive a big-endian signed integer: so has it collectd's own writer.
+    content = struct.pack("<d", value) if kind == GAUGE else struct.pack(">q", int(value))
+    return HEAD.pack(VALUES, HEAD.size + 2 + 1 + 8) + struct.pack(">HB", 1, kind) + content
+
+
+def packets(
+    host: str, counters: Mapping[str, float], gauges: Mapping[str, float], when_s: float, interval_s: float
+) -> Iterator[bytes]:
+    head = (text_part(HOST, host) + time_part(TIME_HR, when_s) + time_part(INTERVAL_HR, interval_s)
+            + text_part(PLUGIN, "yarrowspindle"))  # fmt: skip
+    packet = head
+    for kind, name, values in ((DERIVE, "derive", counters), (GAUGE, "gauge", gauges)):
+        for instance, value in values.items():
+            part = text_part(TYPE, name) + text_part(TYPE_INSTANCE, instance) + values_part(kind, value)
+            if len(packet) + len(part) > LARGEST:
+                yield packet
+                packet = head
+            packet += part
+    if packet != head:
+        yield packet
--- /dev/null
+++ b/yarrowspindle/protocol/quic.py
@@ -0,0 +1,203 @@
+"""QUIC as a relay sees it: headers (RFC 8999, RFC 9000 section 17), connection ids that name their node, and
+the two packets that a relay may write itself, a refusal (an Initial) and a Stateless Reset."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass
+
+from aioquic._buffer import Buffer, BufferReadError
+from aioquic._crypto import CryptoError
+from aioquic.buffer import encode_uint_var
+from aioquic.quic.crypto import CryptoPair
+from aioquic.quic.packet import (
+    QuicErrorCode,
+    QuicFrameType,
+    QuicPacketType,
+    QuicProtocolVersion,
+    encode_long_header_first_byte,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+
+VERSIONS = (QuicProtocolVersion.VERSION_1, QuicProtocolVersion.VERSION_2)
+SMALLEST_INITIAL = 1200  # RFC 9000 section 14.1: an Initial in a smaller datagram is thrown away
+ID_LENGTH = 17
+SERVER_BYTES, LINK_BYTES = 6, 4
+FIRST_OCTET = ID_LENGTH - 1  # config rotation 0 and the length that follows
+TOKEN_LENGTH = 16
+RESET_SMALLEST, RESET_LARGEST = 21, 43
+REFUSED = int(QuicErrorCode.CONNECTION_REFUSED)
+
+Link = tuple[int, int]  # the node's server id, and its number for the connection
+
+
+class PacketError(Exception):
+    """A datagram that follows neither RFC 8999 nor RFC 9000."""
+
+
+@dataclass(slots=True, frozen=True)
+class Header:
+    kind: QuicPacketType | None  # None: a version that we don't speak
+    version: int  # 0 for short headers and version negotiation
+    destination: bytes
+    source: bytes
+    length: int  # of this packet within its datagram
+
+    @property
+    def short(self) -> bool:
+        return self.kind is QuicPacketType.ONE_RTT
+
+
+def parse_invariant(data: bytes) -> Header:
+    """A long header by RFC 8999 alone, whatever the version."""
+    if len(data) < 7:
+        raise PacketError("too short for a long header")
+    at, ids = 5, []
+    for _ in "ds":
+        if at >= len(data) or at + 1 + data[at] > len(data):
+            raise PacketError("a connection id is cut off")
+        ids.append(data[at + 1 : at + 1 + data[at]])
+        at += 1 + data[at]
+    return Header(None, int.from_bytes(data[1:5], "big"), ids[0], ids[1], len(data))
+
+
+def parse_header(data: bytes, short_length: int = ID_LENGTH) -> Header:
+    """The first packet of a datagram. `short_length`: the length of ids in short headers."""
+    if not data:
+        raise PacketError("an empty datagram")
+    if data[0] & 0x80:
+        invariant = parse_invariant(data)
+        if invariant.version not in VERSIONS and invariant.version != 0:
+            return invariant
+    elif len(data) < 1 + short_length + 4:
+        raise PacketError("too short for a short header")
+    try:
+        header = pull_quic_header(Buffer(data=data), host_cid_length=short_length)
+    except (ValueError, BufferReadError) as error:
+        raise PacketError(str(error)) from error
+    return Header(header.packet_type, header.version or 0, header.destination_cid, header.source_cid,
+                  header.packet_length)  # fmt: skip
+
+
+def parse_datagram(data: bytes, short_length: int) -> list[Header]:
+    """All packets of a datagram; what follows a packet that makes no sense is passed over."""
+    headers = [parse_header(data, short_length)]
+    at = headers[0].length
+    while at < len(data) and data[at] & 0x80:
+        try:
+            headers.append(parse_header(data[at:], short_length))
+        except PacketError:
+            break
+        at += headers[-1].length
+    return headers
+
+
+class NodeIds:
+    """Connection ids in the manner of QUIC-LB's single-pass encryption, with a key that nodes and relays share.
+
+    The block holds the server id and a nonce that no other id of that server has. Nodes keep the nonce unique
+    with the number of the connection and a sequence number, which lets a relay count connections by their ids.
+    """
+
+    def __init__(self, key: bytes) -> None:
+        if len(key) != 16:
+            raise ValueError("the key of the connection ids has 16 bytes")
+        self.cipher = Cipher(algorithms.AES(key), modes.ECB())  # one block, never a message
+
+    def encode(self, server: int, link: int, sequence: int) -> bytes:
+        block = server.to_bytes(SERVER_BYTES, "big") + link.to_bytes(LINK_BYTES, "big") + sequence.to_bytes(6, "big")
+        sealed = self.cipher.encryptor()
+        return bytes([FIRST_OCTET]) + sealed.update(block) + sealed.finalize()
+
+    def decode(self, cid: bytes) -> Link | None:
+        if len(cid) != ID_LENGTH or cid[0] != FIRST_OCTET:
+            return None
+        opened = self.cipher.decryptor()
+        block = opened.update(cid[1:]) + opened.finalize()
+        return (int.from_bytes(block[:SERVER_BYTES], "big"),
+                int.from_bytes(block[SERVER_BYTES : SERVER_BYTES + LINK_BYTES], "big"))  # fmt: skip
+
+
+def reset_token(key: bytes, cid: bytes) -> bytes:
+    """RFC 9000 section 10.3.2: from a static key that nodes and relays share, and the connection id."""
+    return hmac.new(key, cid, hashlib.sha256).digest()[:TOKEN_LENGTH]
+
+
+def stateless_reset(token: bytes, answered: int) -> bytes | None:
+    """A Stateless Reset for a datagram of that size; always smaller, so that two ends cannot go on for ever."""
+    size = min(answered - 1, RESET_LARGEST)
+    if size < RESET_SMALLEST:
+        return None
+    noise = bytearray(os.urandom(size - TOKEN_LENGTH))
+    noise[0] = noise[0] & 0x3F | 0x40
+    return bytes(noise) + token
+
+
+def initial_close(version: int, original: bytes, client: bytes, code: int, reason: str) -> bytes:
+    """An Initial that closes a connection before it stands; `original`: the id that the client made up."""
+    text = reason.encode()
+    frame = (encode_uint_var(int(QuicFrameType.TRANSPORT_CLOSE)) + encode_uint_var(code) + encode_uint_var(0)
+             + encode_uint_var(len(text)) + text)  # fmt: skip
+    pair = CryptoPair()
+    pair.setup_initial(cid=original, is_client=False, version=version)
+    number_size = 2
+    head = (
+        bytes([encode_long_header_first_byte(version, QuicPacketType.INITIAL, number_size - 1)])
+        + version.to_bytes(4, "big")
+        + bytes([len(client)]) + client
+        + bytes([len(original)]) + original
+        + encode_uint_var(0)  # no token
+        + encode_uint_var(number_size + len(frame) + pair.aead_tag_size)
+        + bytes(number_size)  # packet number 0
+    )  # fmt: skip
+    return pair.encrypt_packet(head, frame, 0)
+
+
+def close_code(packet: bytes, header: Header, original: bytes) -> int | None:
+    """The code of the CONNECTION_CLOSE that a node's Initial holds; None where it holds none."""
+    pair = CryptoPair()
+    pair.setup_initial(cid=original, is_client=True, version=header.version)
+    buffer = Buffer(data=packet[: header.length])
+    try:
+        pull_quic_header_to_number(buffer)
+        _, payload, _ = pair.decrypt_packet(packet[: header.length], buffer.tell(), 0)
+        frames = Buffer(data=payload)
+        while not frames.eof():
+            kind = frames.pull_uint_var()
+            if kind == QuicFrameType.TRANSPORT_CLOSE:
+                return frames.pull_uint_var()
+            if kind in (QuicFrameType.ACK, QuicFrameType.ACK_ECN):
+                skip_ack(frames, kind)
+            elif kind not in (QuicFrameType.PADDING, QuicFrameType.PING):
+                return None  # CRYPTO: the handshake goes on
+    except (CryptoError, BufferReadError, ValueError):
+        return None
+    return None
+
+
+def pull_quic_header_to_number(buffer: Buffer) -> None:
+    """Move to the packet number of an Initial."""
+    buffer.pull_bytes(5)
+    for _ in "ds":
+        buffer.pull_bytes(buffer.pull_uint8())
+    buffer.pull_bytes(buffer.pull_uint_var())  # the token
+    buffer.pull_uint_var()  # the length
+
+
+def skip_ack(frames: Buffer, kind: int) -> None:
+    frames.pull_uint_var()
+    frames.pull_uint_var()
+    for _ in range(2 * frames.pull_uint_var() + 1):
+        frames.pull_uint_var()
+    for _ in range(3 if kind == QuicFrameType.ACK_ECN else 0):
+        frames.pull_uint_var()
+
+
+def version_negotiation(header: Header) -> bytes:
+    return encode_quic_version_negotiation(
+        source_cid=header.destination, destination_cid=header.source, supported_versions=[int(v) for v in VERSIONS]
+    )
--- a/yarrowspindle/routing/ending.py
+++ b/yarrowspindle/routing/ending.py
@@ -17,6 +17,8 @@
     UNREACHED = "no connection came up, or it broke before all was sent"
     BROKEN = "the connection to the execute node broke or ended"
     SILENT = "the execute node brought nothing back for too long"
+    NODE_GONE = "the machine list says that the execute node is gone"
+    EXPIRED = "nothing came from either side for so long that it must have ended"
     OVERDUE = "the relay stopped waiting: the deadline has passed"
     SUBMITTER_LEFT = "the submitter left, or its connection broke"
     MOVED = "the relay told the submitter to come again"
@@ -32,6 +34,8 @@
     Ending.UNREACHED: Outcome.CONNECT_FAILED,
     Ending.BROKEN: Outcome.RESET,
     Ending.SILENT: Outcome.RESET,
+    Ending.NODE_GONE: Outcome.RESET,
+    Ending.EXPIRED: Outcome.OK,
     Ending.OVERDUE: Outcome.TIMEOUT,
     Ending.SUBMITTER_LEFT: Outcome.CANCELLED,
     Ending.MOVED: Outcome.CANCELLED,
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -196,9 +196,16 @@
     version: int
 
 
+@dataclass(slots=True)
+class NodeGone:
+    """The machine list says that the node is gone; a wire on which that does not show ends what it held."""
+
+    node: str
+
+
 @dataclass(slots=True)
 class Note:
     text: str
 
 
-Effect = Reach | Ask | Drop | Join | Requeue | Deny | Move | Close | Wake | Unwake | Watch | Note
+Effect = Reach | Ask | Drop | Join | Requeue | Deny | Move | Close | Wake | Unwake | Watch | NodeGone | Note
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -30,6 +30,7 @@
     ListTold,
     LoadTold,
     Move,
+    NodeGone,
     NodeReached,
     NodeUp,
     Note,
@@ -81,6 +82,9 @@
     def step(self, now: float, event: Event) -> list[Effect]:
         self.now = max(self.now, now)
         self.handlers[type(event)](event)
+        return self.take_effects()
+
+    def take_effects(self) -> list[Effect]:
         effects, self.effects = self.effects, []
         return effects
 
@@ -186,7 +190,7 @@
                                       event.group, event.repeated, False, event.returned))  # fmt: skip
 
     def _pin(self, job: Job) -> None:
-        if job.node is None or job.node.state is not State.READY:
+        if job.node is None or job.node.state is State.GONE:
             self._answer(job.id, Requeue(job.id, 0.0))
         else:
             self._reach(job, job.node, job.deadline - self.now)
@@ -284,6 +288,7 @@
             self._tell(module.ServerList(event.kind))
             return
         self.version = event.version
+        present = {n.name for n in self.nodes.values() if n.state is not State.GONE}
         if event.kind is not ListKind.DELTA:
             listed = {m.name for m in event.machines}
             for name, node in self.nodes.items():
@@ -300,9 +305,12 @@
         self._tell(module.ServerList(event.kind, entries, event.version))
         for job in [j for j in self.jobs.values() if j.phase is Phase.REACHING]:
             # Nothing was sent yet, and nothing may be sent to a node that drains or is gone.
-            if job.node is not None and job.node.state is not State.READY:
+            if job.node is not None and job.node.state is not State.READY and job.adoption is None:
                 self.effects.append(Drop(job.id, job.attempt))
                 self._ended(job, Ending.NEVER_SENT, False)
+        for name in sorted(present):
+            if self.nodes[name].state is State.GONE:
+                self.effects.append(NodeGone(name))
         for name in [n for n, known in self.nodes.items() if known.state is State.GONE and not known.jobs]:
             del self.numbers[self.nodes.pop(name).number]
 
