Guard the sides of a connection against transports that close

Read in the code: uvloop raises where reading is paused or the end is written on a transport that closes, which would end the other connection of the pair (side.py). A MOVE in the middle of a line that never ends now starts on a line of its own. The daemon is tested with both fronts on.

--- a/tests/quic_stand_ins.py
+++ b/tests/quic_stand_ins.py
@@ -42,8 +42,8 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.timers: dict[QuicConnection, asyncio.TimerHandle] = {}
 
-    async def open(self) -> Address:
-        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+    async def open(self, port: int = 0) -> Address:
+        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", port))
         return cast(Address, transport.get_extra_info("sockname"))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_quic_front.py
+++ b/tests/test_quic_front.py
@@ -6,9 +6,11 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from tests.quic_stand_ins import ID_KEY, IDS, RESET_KEY, QuicClient, QuicNode
+from tests.stand_ins import free_port, relay
 from yarrowspindle.interface import ListKind, RequestClass, Settings, State
 from yarrowspindle.program.clock import Clock
 from yarrowspindle.program.config import Config, QuicConfig
@@ -213,6 +215,27 @@
     run(body, {})
 
 
+def test_the_daemon_serves_both_fronts_where_the_operators_file_says_so(tmp_path: Path) -> None:
+    async def inside() -> None:
+        port = free_port()
+        operator = f'[quic]\nlisten = "127.0.0.1:{port}"\nid_key = "{ID_KEY.hex()}"\nreset_key = "{RESET_KEY.hex()}"\n'
+        async with relay(tmp_path, operator) as world:
+            nodes = [QuicNode(name) for name in world.nodes]
+            for node in nodes:
+                await node.open(world.nodes[node.name].port)
+            client = await QuicClient(("127.0.0.1", port)).start()
+            home = (await client.ask(b"x")).split(b":")[0]
+            await client.rebind()
+            assert await client.ask(b"y") == home + b":y"
+            await world.standing()
+            world.stop()
+            await asyncio.wait_for(client.reset, 5.0)
+            for end in (*nodes, client):
+                end.close()
+
+    asyncio.run(inside())
+
+
 def test_an_id_names_its_node_and_connection_and_hides_them() -> None:
     ids = {IDS.encode(7, 9, sequence) for sequence in range(50)}
     assert len(ids) == 50 and {IDS.decode(cid) for cid in ids} == {(7, 9)}
--- a/yarrowspindle/transport/node.py
+++ b/yarrowspindle/transport/node.py
@@ -118,6 +118,7 @@
         if self.moving is not None:
             self.moving.write(data[:end] if end else data)
         if end:
+            self.lines.rest = b""
             self._moved()
 
     def _moved(self) -> None:
@@ -125,7 +126,7 @@
             self.later.cancel()
             self.later = None
         if self.moving is not None:
-            self.moving.finish(lines.MOVE)
+            self.moving.finish(lines.MOVE if self.lines.between else lines.END + lines.MOVE)
             self.moving = None
         self.told = True
         self.finish()
--- a/yarrowspindle/transport/side.py
+++ b/yarrowspindle/transport/side.py
@@ -21,27 +21,33 @@
         if sock is not None and sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @property
+    def alive(self) -> asyncio.Transport | None:
+        """The transport, while it can still be used: uvloop raises where asyncio's own passes over it."""
+        return self.transport if self.transport is not None and not self.transport.is_closing() else None
+
     def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.closing:
-            self.transport.write(data)
+        transport = self.alive
+        if transport is not None and not self.closing:
+            transport.write(data)
 
     def pause_writing(self) -> None:
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.pause_reading()
+        if self.other is not None and (transport := self.other.alive):
+            transport.pause_reading()
 
     def resume_writing(self) -> None:
-        if self.other is not None and self.other.transport is not None:
-            self.other.transport.resume_reading()
+        if self.other is not None and (transport := self.other.alive):
+            transport.resume_reading()
 
     def finish(self, last: bytes = b"") -> None:
         """Send what is left and end the connection in order; what still comes in is thrown away."""
-        transport = self.transport
-        if transport is None or self.closing:
+        transport, closing = self.alive, self.closing
+        self.closing = True
+        self.other = None
+        if transport is None or closing:
             return
         if last:
             transport.write(last)
-        self.closing = True
-        self.other = None
         transport.resume_reading()
         # Closing at once would reset the connection if the peer has sent what we have not read, and the
         # reset would overtake our last line.
--- a/yarrowspindle/transport/submitter.py
+++ b/yarrowspindle/transport/submitter.py
@@ -43,8 +43,8 @@
             self.other.write(data)
             return
         self.kept += data
-        if self.job and len(self.kept) > KEPT and self.transport is not None:
-            self.transport.pause_reading()
+        if self.job and len(self.kept) > KEPT and (transport := self.alive):
+            transport.pause_reading()
         while not self.job and not self.closing:
             line, end, rest = self.kept.partition(lines.END)
             if not end:
@@ -82,8 +82,8 @@
         self.write(first)
         self.other, other.other = other, self
         kept, self.kept = self.kept, b""
-        if self.transport is not None:
-            self.transport.resume_reading()
+        if transport := self.alive:
+            transport.resume_reading()
         if kept:
             self.data_received(kept)
 
