--- a/tests/test_middleware.py
+++ b/tests/test_middleware.py
@@ -107,6 +107,9 @@
         assert start["status"] == 503 and headers[b"retry-after"] in (b"1", b"2")
         socket = await Client(app, type="websocket", scheme="ws").next()
         assert (socket["type"], socket["code"]) == ("websocket.close", 1013)
+        able = Client(app, type="websocket", scheme="ws", extensions={"websocket.http.response": {}})
+        start = await able.next()
+        assert (start["type"], start["status"]) == ("websocket.http.response.start", 503)
 
     run(body, State.DRAINING)
 
--- a/tests/test_quic_front.py
+++ b/tests/test_quic_front.py
@@ -207,6 +207,7 @@
         for data in bad:
             w.front.from_client(data, ("127.0.0.1", 9))
         assert w.front.counts["malformed"] == 4 and w.front.counts["unknown_id"] == 1
+        assert w.hub.metrics.counters()["quic.malformed"] == 4.0
         assert await client.ask(b"x")
         other = b"\xc0\x0a\x0a\x0a\x0a\x08abcdefgh\x08abcdefgh" + bytes(1200)
         client.raw(other)
--- a/yarrowspindle/middleware/asgi.py
+++ b/yarrowspindle/middleware/asgi.py
@@ -214,9 +214,12 @@
 
 async def refuse(scope: Scope, send: Send, answer: Requeue | Deny) -> None:
     after = answer.after_ms if isinstance(answer, Requeue) else 0.0
+    kind = "http.response"
     if scope["type"] == "websocket":
-        await send({"type": "websocket.close", "code": TRY_AGAIN_LATER, "reason": "no execute node has room"})
-        return
+        if "websocket.http.response" not in (scope.get("extensions") or {}):  # the server can only close it
+            await send({"type": "websocket.close", "code": TRY_AGAIN_LATER, "reason": "no execute node has room"})
+            return
+        kind = "websocket.http.response"
     headers = [(b"content-type", b"text/plain; charset=utf-8"), (b"retry-after", b"%d" % max(1, ceil(after / 1000.0)))]
-    await send({"type": "http.response.start", "status": 503, "headers": headers})
-    await send({"type": "http.response.body", "body": b"no execute node has room\n"})
+    await send({"type": f"{kind}.start", "status": 503, "headers": headers})
+    await send({"type": f"{kind}.body", "body": b"no execute node has room\n"})
--- a/yarrowspindle/program/metrics.py
+++ b/yarrowspindle/program/metrics.py
@@ -21,6 +21,13 @@
     def __init__(self, reducer: Reducer) -> None:
         self.reducer = reducer
         self.counts: Counter[str] = Counter()
+        self.sources: dict[str, Counter[str]] = {}  # counters that others keep, under their names
+
+    def counters(self) -> dict[str, float]:
+        found = {name: float(value) for name, value in self.counts.items()}
+        for source, counts in self.sources.items():
+            found |= {f"{source}.{name}": float(value) for name, value in counts.items()}
+        return found
 
     def event(self, event: Event) -> None:
         name = type(event).__name__
@@ -46,11 +53,11 @@
     datagrams = await open_datagrams(config.collectd) if config.collectd else None
     while True:
         await asyncio.sleep(config.interval_s)
-        now, gauges = time.time(), metrics.gauges()
+        now, counters, gauges = time.time(), metrics.counters(), metrics.gauges()
         if receiver is not None:
-            receiver.send(graphite.plaintext(f"{config.prefix}.{name}", {**metrics.counts, **gauges}, now))
+            receiver.send(graphite.plaintext(f"{config.prefix}.{name}", counters | gauges, now))
         if datagrams is not None:
-            for packet in collectd.packets(name, metrics.counts, gauges, now, config.interval_s):
+            for packet in collectd.packets(name, counters, gauges, now, config.interval_s):
                 datagrams.send(packet)
 
 
--- a/yarrowspindle/program/quic_front.py
+++ b/yarrowspindle/program/quic_front.py
@@ -94,6 +94,7 @@
     async def start(self) -> None:
         await self.loop.create_datagram_endpoint(lambda: self.front, local_addr=self.config.listen)
         self.hub.fronts.append(self)
+        self.hub.metrics.sources["quic"] = self.counts
         self.loop.call_later(SWEEP_S, self._sweep)
         logger.info("QUIC is served at {}:{}", *self.config.listen)
 
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -26,13 +26,13 @@
 
 
 class Job:
-    __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "arrival", "adoption", "unanswered")
+    __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "adoption", "unanswered")
 
     def __init__(self, job: int, now: float, left_ms: float) -> None:
         self.id, self.phase = job, Phase.HELD
         self.attempt = -1  # number of the newest, as the module counts
         self.node: Node | None = None  # of the newest attempt
-        self.arrival, self.deadline, self.sent = now, now + left_ms, now
+        self.deadline, self.sent = now + left_ms, now
         self.adoption: Adopted | None = None  # open before the run, and not up again yet
         self.unanswered: deque[float] = deque()  # when lines came that had no line back
 
