--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -270,3 +270,14 @@
         b.handle(0.0, full_list(*order))
         placed.append([place(b, 0.0, n) for n in range(60)])
     assert placed[0] == placed[1]
+
+
+def test_where_no_message_times_are_told_own_load_opens_other_zones() -> None:
+    """Without notes a home zone filled up while others lay idle: nothing was ever slow, so nobody looked there."""
+    for tells, crossed in ((True, False), (False, True)):
+        b = Balancer(settings(classes=TOLD, zones=2, cross_zone_price=0.1, tells_delay=tells), 1, 0.0)
+        b.handle(0.0, full_list(ServerEntry(2), ServerEntry(3, zone=1), ServerEntry(4)))
+        homes = [(place(b, 0.0, n, load=20.0) or 0) != 3 for n in range(60)]
+        assert all(homes[:4]) and all(homes) != crossed
+        b.handle(1.0, ServerSlow(0, 2, 1.0))  # one note says that notes do come
+        assert all((place(b, 2.0, n, load=20.0) or 0) != 3 for n in range(100, 160))
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -110,6 +110,7 @@
     may_tell: bool = False
     cross_zone_price: float = 0.0
     move_price: float = 0.0
+    tells_delay: bool = True  # `ServerSlow` comes while messages take long
 
     def __post_init__(self) -> None:
         def need(ok: bool, what: str) -> None:
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -24,6 +24,7 @@
 COVER = 8.0  # balancers that each server is drawn by: own counts are near one, one balancer's luck an eighth
 DEAR = 0.05  # a crossing that costs more of a request's worth than this is worth staying at home for
 COLD_PART = 0.25  # of the fall multiple, used of a cold server's budget; the rest is for chance
+FULL, AWAY = 60.0, 50.0  # _choose: own load for each unit of capacity, where nothing tells of message times
 MOVE_PART = 0.8  # chance of a move for a slow note, where the server is the only slow one
 SHED = 0.3  # the least of that chance, in a general overload where clients can be told to wait
 RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
@@ -100,6 +101,7 @@
         self.out: list[Action] = []
         self.asking, self.failures = False, 0
         aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
+        self.blind = not settings.tells_delay  # until the first note comes after all
         self.slow_ms = min(aims, default=0.0) / 3.0
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, AttemptEnded: self._ended, Established: self._established,
@@ -208,14 +210,16 @@
                 # Unequal servers and connections: own load over capacity stands for the own count.
                 if best is None or self._rank(server) < self._rank(best):
                     best = server
-            # A failing or slow server is passed over while the wider circle may hold a better one.
-            if best is not None and self._rank(best)[0] == 0:
+            # A failing or slow server is passed over while the wider circle may hold a better one. Where
+            # nobody tells which is slow, own load must: past FULL others are drawn, with AWAY against them.
+            if best is not None and self._rank(best) < (0, FULL if self.blind else inf):
                 break
         return best
 
     def _rank(self, server: Server) -> tuple[int, float]:
         bad = 2 if self.now < server.bad_until else 1 if self.now < server.slow_until else 0
-        return bad, (server.load + self.mean_load) / server.capacity
+        away = AWAY if self.blind and server.zone != self.settings.zone else 0.0
+        return bad, (server.load + self.mean_load) / server.capacity + away
 
     # --- cold budget ----------------------------------------------------------------------------
 
@@ -424,6 +428,7 @@
 
     def _slow(self, event: ServerSlow) -> None:
         """Told once a second while messages take long; silence means that we no longer know."""
+        self.blind = False
         server, job = self.servers.get(event.server), self.jobs.get(event.request)
         if server is None:
             return
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -6,7 +6,7 @@
 import os
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -69,7 +69,10 @@
             listen=parse_address(str(data["listen"])),
             discovery=parse_address(str(data["discovery"])),
             seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-            settings=read_settings(dict(flatten(raw))),
+            # The platform's lines have no word for what a message takes, whatever the settings say of notes: an
+            # execute node brings a line back at once under any load (measured). Should one take long after all,
+            # the module is told, and goes by it from then on.
+            settings=replace(read_settings(dict(flatten(raw))), tells_delay=False),
             known=parse_list(known, names, ListKind.CACHED),
             names=names,
             classes=names_of(raw.get("categories")),
--- a/yarrowspindle/settings.py
+++ b/yarrowspindle/settings.py
@@ -119,5 +119,6 @@
         may_probe=p.flag("limits.probing"),
         may_tell=p.flag("limits.may_tell"),
         cross_zone_price=p.number("deductions.cross_zone", 0.0),
+        tells_delay=p.flag("family_info.tells_delay", True),
         move_price=p.number("deductions.moves", 0.0),
     )
