--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -24,7 +24,7 @@
 COVER = 8.0  # balancers that each server is drawn by: own counts are near one, one balancer's luck an eighth
 DEAR = 0.05  # a crossing that costs more of a request's worth than this is worth staying at home for
 COLD_PART = 0.25  # of the fall multiple, used of a cold server's budget; the rest is for chance
-FULL, AWAY = 60.0, 50.0  # _choose: own load for each unit of capacity, where nothing tells of message times
+AWAY = 30.0  # against other zones, in own load for each unit of capacity, where nobody tells who is slow
 MOVE_PART = 0.8  # chance of a move for a slow note, where the server is the only slow one
 SHED = 0.3  # the least of that chance, in a general overload where clients can be told to wait
 RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
@@ -211,8 +211,8 @@
                 if best is None or self._rank(server) < self._rank(best):
                     best = server
             # A failing or slow server is passed over while the wider circle may hold a better one. Where
-            # nobody tells which is slow, own load must: past FULL others are drawn, with AWAY against them.
-            if best is not None and self._rank(best) < (0, FULL if self.blind else inf):
+            # nobody tells which is slow, own load must: all zones are drawn from, with AWAY against others.
+            if best is not None and self._rank(best)[0] == 0 and not self.blind:
                 break
         return best
 
