Put the handicap on other zones only where home comes first

Read in the code: where crossing is cheap all zones are drawn from in any case, and a handicap has no place there (policy.py, _rank).

--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -218,7 +218,8 @@
 
     def _rank(self, server: Server) -> tuple[int, float]:
         bad = 2 if self.now < server.bad_until else 1 if self.now < server.slow_until else 0
-        away = AWAY if self.blind and server.zone != self.settings.zone else 0.0
+        dear = self.blind and self.inner is not self.everywhere and server.zone != self.settings.zone
+        away = AWAY if dear else 0.0
         return bad, (server.load + self.mean_load) / server.capacity + away
 
     # --- cold budget ----------------------------------------------------------------------------
