Follow SIGHUP to a new machine list, and end bad clients at the door

All 848 descriptors were taken, set-ups took 1.5 s in the median, 181 requests of bad clients came to execute nodes. At fault: FIRST_LINE_S of 20 s (submitter.py) and an accept without bound (line_front.py); parse_open took any id, key and name, twice too; the reducer did not know an id that was already open; 'more' behind the first line was kept. Now: one event Reloaded, the old watch stays until the new one has told its list; Opening cuts first lines bounded and linear; the reducer refuses ids that are open, waits past the class's deadline and at= once the run has begun; a submitter that sends out of turn is denied; Door bounds strangers and those answered, and Listener leaves the rest to the kernel; warnings are bounded; refused senders are heard out while they send; failures of this machine (EMFILE) no longer count against a node.

--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -6,7 +6,7 @@
 import os
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -52,6 +52,8 @@
     names: Names = field(default_factory=Names)
     classes: list[str] = field(default_factory=list)
     tenants: list[str] = field(default_factory=list)
+    sockets: int = 0  # the platform's limit on descriptors; 0: not told
+    written: str = ""  # discovery as the file has it, whatever the environment says
 
 
 def names_of(items: object) -> list[str]:
@@ -77,6 +79,7 @@
             names=names,
             classes=names_of(raw.get("categories")),
             tenants=names_of(raw.get("realms")),
+            sockets=int((data.get("limits") or {}).get("sockets") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError, ListError, SettingsError) as error:
         raise ConfigError(f"the configuration makes no sense: {error!r}") from error
@@ -161,11 +164,29 @@
         raise ConfigError("ROUTER_CONFIG names no file")
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path} cannot be read: {error}") from error
     if not isinstance(data, dict):
         raise ConfigError(f"{path} holds no object")
+    written = str(data.get("discovery") or "")
     for key, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY")):
         if environ.get(variable):
             data[key] = environ[variable]
-    return read_config(data)
+    return replace(read_config(data), written=written)
+
+
+NEED_RESTART = frozenset(("name", "listen", "settings", "names", "classes", "tenants", "sockets"))
+
+
+def reload_config(old: Config, environ: Mapping[str, str] = os.environ) -> tuple[Config, list[str]]:
+    """The configuration after the file was read again, and which changes in it wait for a restart.
+
+    The environment cannot change under a running process: where the file names another machine list than it did
+    before, the file's word is the newer one."""
+    new = load_config(environ)
+    try:
+        moved = parse_address(new.written) if new.written and new.written != old.written else old.discovery
+    except ListError as error:
+        raise ConfigError(f"the configuration makes no sense: {error!r}") from error
+    waiting = [f.name for f in fields(new) if f.name in NEED_RESTART and getattr(new, f.name) != getattr(old, f.name)]
+    return replace(old, discovery=moved, written=new.written), waiting
--- /dev/null
+++ b/yarrowspindle/program/door.py
@@ -0,0 +1,78 @@
+"""Who is let in while descriptors are short: the books behind the listening socket.
+
+A connection is a stranger until its job has come. Jobs need a descriptor for each side; strangers, and connections
+that were answered and have not ended yet, share a part of what there is. Where that is full, those answered longest
+ago go first, then the strangers that have said nothing for longest.
+"""
+
+from __future__ import annotations
+
+import os
+import resource
+from collections.abc import Callable
+from itertools import islice
+
+from yarrowspindle.transport.side import Side
+
+SPARE = 24  # for what comes and goes: watches, the configuration's file, sockets that are about to close
+STRANGERS_PART = 0.2
+STRANGERS_LEAST = 8
+YOUNG_S = 0.03  # a usual submitter's line comes with its connection; nobody is sent away sooner than this
+
+
+def descriptors_left(told: int = 0) -> int:
+    """How many the process may still open, by its limit and by what the configuration tells of it."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if most == resource.RLIM_INFINITY:
+        most = 1 << 20
+    try:
+        used = len(os.listdir("/proc/self/fd"))
+    except OSError:
+        used = 32
+    return max(0, min(most, told or most) - used)
+
+
+class Door:
+    def __init__(self, most: int, clock: Callable[[], float]) -> None:
+        self.most, self.clock = most - SPARE, clock
+        self.strangers_most = max(STRANGERS_LEAST, int(self.most * STRANGERS_PART))
+        self.held: set[Side] = set()  # all sides that have a descriptor, or are about to
+        self.strangers: dict[Side, float] = {}  # since when; oldest first
+        self.leaving: dict[Side, float] = {}
+
+    def came(self, side: Side) -> None:
+        self.held.add(side)
+        self.strangers[side] = self.clock()
+
+    def reached_for(self, side: Side) -> None:
+        self.held.add(side)
+
+    def known(self, side: Side) -> None:
+        self.strangers.pop(side, None)
+
+    def answered(self, side: Side) -> None:
+        self.strangers.pop(side, None)
+        if side in self.held:
+            self.leaving[side] = self.clock()
+
+    def lost(self, side: Side) -> None:
+        self.held.discard(side)
+        self.strangers.pop(side, None)
+        self.leaving.pop(side, None)
+
+    def room(self) -> bool:
+        """Whether one more may come in; makes room where that is needed and somebody can be sent away."""
+        while len(self.held) >= self.most or len(self.strangers) + len(self.leaving) >= self.strangers_most:
+            if not self._send_away():
+                return False
+        return True
+
+    def _send_away(self) -> bool:
+        old = self.clock() - YOUNG_S
+        for sides in (self.leaving, self.strangers):
+            for side, since in islice(sides.items(), 1):
+                if since <= old:
+                    self.lost(side)
+                    side.abort()
+                    return True
+        return False
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -10,14 +10,16 @@
 
 from yarrowspindle.interface import ListKind
 from yarrowspindle.program.clock import Clock, Timers
-from yarrowspindle.program.config import Config
+from yarrowspindle.program.config import Config, ConfigError, reload_config
 from yarrowspindle.program.metrics import Metrics
 from yarrowspindle.routing.messages import (
+    Address,
     Effect,
     Event,
     ListTold,
     NodeGone,
     Note,
+    Reloaded,
     Stop,
     Unwake,
     Wake,
@@ -37,14 +39,16 @@
 class Hub:
     def __init__(self, config: Config, clock: Clock) -> None:
         self.config, self.clock = config, clock
-        self.reducer = Reducer(config.settings, config.seed, clock.now())
+        self.reducer = Reducer(config.settings, config.seed, clock.now(), config.discovery)
         self.metrics = Metrics(self.reducer)
         self.timers = Timers(lambda what: self.post(Woke(what)))
         self.fronts: list[Front] = []
         self.owners: dict[int, Front] = {}
         self.jobs = 0
         self.watch: WatchSide | None = None
+        self.watch_at: Address | None = None
         self.watching: asyncio.Task[None] | None = None
+        self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
         self.queue: deque[Event] = deque()
         self.busy = False
 
@@ -54,6 +58,18 @@
     def stop(self, within_ms: float) -> None:
         self.post(Stop(within_ms))
 
+    def reload(self) -> None:
+        """Reads the configuration's file again. One that makes no sense changes nothing."""
+        try:
+            self.config, waiting = reload_config(self.config)
+        except ConfigError as error:
+            logger.error("the old configuration stays: {}", error)
+            return
+        if waiting:
+            logger.warning("changes of {} need a restart", ", ".join(waiting))
+        logger.info("the configuration was read again; the machine list is at {}:{}", *self.config.discovery)
+        self.post(Reloaded(self.config.discovery))
+
     def new_job(self, front: Front) -> int:
         self.jobs += 1
         self.owners[self.jobs] = front
@@ -90,7 +106,7 @@
             elif isinstance(effect, Unwake):
                 self.timers.cancel(effect.what)
             elif isinstance(effect, Watch):
-                self._watch(effect.version)
+                self._watch(effect)
             elif isinstance(effect, Note):
                 logger.info("{}", effect.text)
             elif isinstance(effect, NodeGone):
@@ -104,24 +120,40 @@
 
     # --- the machine list -----------------------------------------------------------------------
 
-    def list_told(self, told: ListTold) -> None:
-        self.post(told)
+    def list_told(self, watch: WatchSide, told: ListTold) -> None:
+        if watch is self.watch and self.former is not None:
+            former, self.former = self.former, None
+            former.end("another has taken its place")
+        if watch in (self.watch, self.former):
+            self.post(told)
 
     def watch_over(self, watch: WatchSide, why: str) -> None:
-        if self.watch is watch:
+        if self.former is watch:
+            self.former = None
+        elif self.watch is watch:
             self.watch = None
             logger.warning("the watch on the machine list is over: {}", why)
             self.post(ListTold(ListKind.FAILED))
 
-    def _watch(self, version: int) -> None:
-        if self.watch is None and (self.watching is None or self.watching.done()):
-            self.watching = asyncio.get_running_loop().create_task(self._open_watch(version))
-
-    async def _open_watch(self, version: int) -> None:
-        host, port = self.config.discovery
-        watch = self.watch = WatchSide(self, self.config.names, f"{host}:{port}", version)
+    def _watch(self, effect: Watch) -> None:
+        address = effect.address or self.config.discovery
+        if self.watch is not None and self.watch_at == address:
+            return
+        if self.watch is not None:
+            replaced, self.watch = self.watch, None
+            if replaced.told and self.former is None:
+                self.former = replaced
+            else:  # it never told anything: nothing is lost with it
+                replaced.end("the machine list is elsewhere now")
+            if self.watching is not None:
+                self.watching.cancel()
+        host, port = self.watch_at = address
+        self.watch = WatchSide(self, self.config.names, f"{host}:{port}", effect.version)
+        self.watching = asyncio.get_running_loop().create_task(self._open_watch(self.watch, address))
+
+    async def _open_watch(self, watch: WatchSide, address: Address) -> None:
         try:
             loop = asyncio.get_running_loop()
-            await asyncio.wait_for(loop.create_connection(lambda: watch, host, port), WATCH_CONNECT_S)
+            await asyncio.wait_for(loop.create_connection(lambda: watch, *address), WATCH_CONNECT_S)
         except OSError as error:  # a time-out among them
             watch.end(f"no connection: {error!r}")
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
 
+from yarrowspindle.program.door import Door
 from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.log import Bounded
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, Open, hexadecimal
+from yarrowspindle.protocol.lines import LineError, Open
 from yarrowspindle.routing.ending import Ending
 from yarrowspindle.routing.messages import (
     Answered,
@@ -27,19 +30,26 @@
     Move,
     NodeReached,
     NodeUp,
+    OutOfTurn,
     Reach,
     Requeue,
     SubmitterLeft,
 )
+from yarrowspindle.transport.listener import Listener
 from yarrowspindle.transport.node import NodeSide
 from yarrowspindle.transport.submitter import Submitter
 
 BACKLOG = 1024
+# Failures of this machine, which say nothing of an execute node.
+OWN_FAILURES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
 
 class LineFront:
-    def __init__(self, hub: Hub) -> None:
+    def __init__(self, hub: Hub, descriptors: int) -> None:
         self.hub, self.config = hub, hub.config
+        self.loop = asyncio.get_running_loop()
+        self.door = Door(descriptors, self.loop.time)
+        self.log = Bounded(self.loop.time)
         self.submitters: dict[int, Submitter] = {}
         self.opened: dict[int, Open] = {}  # lines of jobs that may still be sent on
         self.nodes: dict[int, NodeSide] = {}  # of each job's attempt that is out, or its standing connection
@@ -49,12 +59,11 @@
             Deny: self._deny, Move: self._move, Close: self._close,
         }  # fmt: skip
 
-    async def start(self) -> asyncio.Server:
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: Submitter(self), *self.config.listen, backlog=BACKLOG)
+    def start(self) -> Listener:
+        listener = Listener(self.config.listen, BACKLOG, lambda: Submitter(self), self.door.room, self.bad_line)
         self.hub.fronts.append(self)
         logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
-        return server
+        return listener
 
     def carry_out(self, effect: Effect) -> None:
         handler = self.effects.get(type(effect))
@@ -63,34 +72,46 @@
 
     # --- reports of submitters ------------------------------------------------------------------
 
+    def submitter_came(self, side: Submitter) -> None:
+        self.door.came(side)
+
     def job_came(self, side: Submitter, opened: Open) -> None:
         config = self.config
         try:
-            cls, tenant = config.classes.index(opened.get("c")), opened.get("t")
+            cls = config.classes.index(opened.get("c"))
+            tenant = config.tenants.index(opened.get("t")) if config.tenants else 0
         except ValueError:
-            raise LineError("a class that the settings do not name") from None
-        group = opened.get("g")
+            raise LineError("a class or tenant that the settings do not name") from None
         arrived = JobArrived(
-            0, opened.number("d"), cls, config.tenants.index(tenant) if tenant in config.tenants else 0,
-            opened.key, opened.number("h"), hexadecimal(group) if group else 0,
-            opened.get("r") == "1", opened.get("again") == "1", opened.get("at"),
+            0, opened.number("d"), cls, tenant, opened.key, opened.number("h"), opened.hexadecimal("g"),
+            opened.flag("r"), opened.flag("again"), opened.get("at"), opened.id,
         )  # fmt: skip
+        self.door.known(side)
         side.job = arrived.job = self.hub.new_job(self)
         self.submitters[side.job], self.opened[side.job] = side, opened
         self.hub.post(arrived)
 
-    def job_asked(self, job: int) -> None:
-        self.hub.post(Asked(job))
+    def job_out_of_turn(self, job: int) -> None:
+        self.hub.post(OutOfTurn(job))
+
+    def job_asked(self, job: int, lines: int) -> None:
+        if lines:
+            self.hub.post(Asked(job, lines))
 
     def job_left(self, job: int) -> None:
         self.hub.post(SubmitterLeft(job))
 
     def submitter_lost(self, side: Submitter) -> None:
+        self.door.lost(side)
         if self.submitters.get(side.job) is side:
             self._forget(side.job)
 
+    def submitter_refused(self, side: Submitter, why: str) -> None:
+        self.door.answered(side)
+        self.bad_line(why)
+
     def bad_line(self, text: str) -> None:
-        logger.warning("{}", text)
+        self.log.warn(text)
 
     # --- reports of execute nodes ---------------------------------------------------------------
 
@@ -100,12 +121,15 @@
     def node_up(self, side: NodeSide) -> None:
         self.hub.post(NodeUp(side.job, side.attempt))
 
-    def node_answered(self, job: int) -> None:
-        self.hub.post(Answered(job))
+    def node_answered(self, job: int, lines: int) -> None:
+        self.hub.post(Answered(job, lines))
 
     def node_load(self, job: int, load: float) -> None:
         self.hub.post(LoadTold(job, load / 1000.0))
 
+    def node_lost(self, side: NodeSide) -> None:
+        self.door.lost(side)
+
     def node_over(self, side: NodeSide, ending: Ending) -> None:
         if self.nodes.get(side.job) is side:
             del self.nodes[side.job]
@@ -116,19 +140,21 @@
     def _reach(self, effect: Reach) -> None:
         side = NodeSide(self, effect.job, effect.attempt)
         self.nodes[effect.job] = side
-        self.reaching[effect.job] = asyncio.get_running_loop().create_task(self._connect(side, effect))
+        self.door.reached_for(side)
+        self.reaching[effect.job] = self.loop.create_task(self._connect(side, effect))
 
     async def _connect(self, side: NodeSide, effect: Reach) -> None:
-        loop = asyncio.get_running_loop()
         host, port = effect.address
         try:
-            await asyncio.wait_for(loop.create_connection(lambda: side, host, port), effect.within_ms / 1000.0)
-        except OSError:
+            await asyncio.wait_for(self.loop.create_connection(lambda: side, host, port), effect.within_ms / 1000.0)
+        except OSError as error:
             side.closing = True
             if not side.told:
                 side.told = True
-                self.node_over(side, Ending.UNREACHED)
+                self.node_over(side, Ending.NEVER_SENT if error.errno in OWN_FAILURES else Ending.UNREACHED)
         finally:
+            if side.transport is None:
+                self.door.lost(side)
             if self.reaching.get(effect.job) is asyncio.current_task():
                 del self.reaching[effect.job]
 
@@ -141,6 +167,8 @@
         side = self.nodes.pop(effect.job, None)
         if side is not None:
             side.drop()
+            if side.transport is None:  # its task may be cancelled before it has begun
+                self.door.lost(side)
         task = self.reaching.pop(effect.job, None)
         if task is not None:
             task.cancel()
@@ -159,6 +187,7 @@
         self._forget(job)
         if submitter is not None:
             submitter.finish(line)
+            self.door.answered(submitter)
 
     def _forget(self, job: int) -> None:
         self.submitters.pop(job, None)
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -5,15 +5,16 @@
 import asyncio
 import gc
 import signal
-import sys
 
 import uvloop
 from loguru import logger
 
 from yarrowspindle.program.clock import Clock
 from yarrowspindle.program.config import Config, ConfigError, Operator, load_config, load_operator
+from yarrowspindle.program.door import descriptors_left
 from yarrowspindle.program.hub import Hub
 from yarrowspindle.program.line_front import LineFront
+from yarrowspindle.program.log import log_to
 from yarrowspindle.program.metrics import report
 
 STOP_MS = 2800.0  # SIGKILL comes 3.7 s after SIGTERM at the soonest
@@ -22,9 +23,11 @@
 
 async def serve(config: Config, operator: Operator) -> None:
     hub = Hub(config, Clock())
-    hub.start()
     loop = asyncio.get_running_loop()
-    server = await LineFront(hub).start()
+    loop.add_signal_handler(signal.SIGHUP, hub.reload)
+    hub.start()
+    descriptors = descriptors_left(config.sockets) - (operator.quic.max_connections if operator.quic else 0)
+    server = LineFront(hub, descriptors).start()
     if operator.quic is not None:
         from yarrowspindle.program.quic_front import QuicFront  # needs packages that the platform does without
 
@@ -49,12 +52,8 @@
     logger.info("stopped: {} jobs are left", len(hub.reducer.jobs))
 
 
-def log_to(level: str) -> None:
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False)
-
-
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be followed; the file is about to be read anyway
     log_to("INFO")
     try:
         config, operator = load_config(), load_operator()
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import Enum
 
 LONGEST = 4096
 END = b"\r\n"
-PING, PONG, MOVE, FAILED = b"PING\r\n", b"PONG\r\n", b"MOVE\r\n", b"ERR\r\n"
+PING, PONG, MOVE, FAILED, NO = b"PING\r\n", b"PONG\r\n", b"MOVE\r\n", b"ERR\r\n", b"NO\r\n"
+PROBES = {b"PING": PONG, b"STATS": NO}  # what a connection may ask before its OPEN line
+PROBES_MOST = 4
+# Narrower than what int() and float() take: signs, underscores and exponents are no figures of this protocol.
+OPEN_LINE = re.compile(r"OPEN ([0-9a-f]{16}) ([0-9a-f]{16}) (\S+)")
+PAIR = re.compile(r"([a-z][a-z0-9_]{0,31})=([!-+\--<>-~]+)")
+FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+HEXADECIMAL = re.compile(r"[0-9a-f]{1,16}")
 
 
 class LineError(Exception):
@@ -16,58 +24,96 @@
 
 @dataclass(slots=True, frozen=True)
 class Open:
-    head: str  # all before the list of names and values
-    pairs: tuple[tuple[str, str], ...]
+    id: str
+    flow: str
+    pairs: dict[str, str]  # in the order in which they came
 
     def get(self, name: str, default: str = "") -> str:
-        return next((value for key, value in self.pairs if key == name), default)
+        return self.pairs.get(name, default)
 
     def number(self, name: str) -> float:
-        try:
-            value = float(self.get(name, "0"))
-        except ValueError:
-            raise LineError(f"{name} is not a number") from None
-        if not 0.0 <= value < 1e12:
-            raise LineError(f"{name} is out of range")
-        return value
+        value = self.get(name, "0")
+        if not FIGURE.fullmatch(value):
+            raise LineError(f"{name} is not a figure")
+        return float(value)
+
+    def flag(self, name: str) -> bool:
+        value = self.get(name, "0")
+        if value not in ("0", "1"):
+            raise LineError(f"{name} is neither 0 nor 1")
+        return value == "1"
+
+    def hexadecimal(self, name: str) -> int:
+        value = self.get(name, "0")
+        if not HEXADECIMAL.fullmatch(value):
+            raise LineError(f"{name} is not hexadecimal")
+        return int(value, 16)
 
     @property
     def key(self) -> int:
-        return hexadecimal(self.head.split(" ")[2])
+        return int(self.flow, 16)
 
     def forward(self, left_ms: float) -> bytes:
         """The line as it goes on: all as it came, but for the time that is left."""
         left = str(max(1, int(left_ms)))
-        listed = ",".join(f"{name}={left if name == 'd' else value}" for name, value in self.pairs)
-        return f"{self.head} {listed}".encode() + END
-
-
-def hexadecimal(text: str) -> int:
-    try:
-        return int(text, 16) & 0xFFFFFFFFFFFFFFFF
-    except ValueError:
-        raise LineError("a key is not hexadecimal") from None
+        listed = ",".join(f"{name}={left if name == 'd' else value}" for name, value in self.pairs.items())
+        return f"OPEN {self.id} {self.flow} {listed}".encode() + END
 
 
 def parse_open(line: bytes) -> Open:
     try:
-        parts = line.decode("ascii").split(" ")
+        match = OPEN_LINE.fullmatch(line.decode("ascii"))
     except UnicodeDecodeError:
         raise LineError("a line that is not ASCII") from None
-    if len(parts) != 4 or parts[0] != "OPEN":
+    if match is None:
         raise LineError("not an OPEN line")
-    pairs = []
-    for part in parts[3].split(","):
-        name, equals, value = part.partition("=")
-        if not equals:
-            raise LineError("a name without a value")
-        pairs.append((name, value))
-    opened = Open(" ".join(parts[:3]), tuple(pairs))
-    if opened.number("d") <= 0.0:
+    pairs: dict[str, str] = {}
+    for part in match[3].split(","):
+        pair = PAIR.fullmatch(part)
+        if pair is None:
+            raise LineError("not a name and a value")
+        if pair[1] in pairs:
+            raise LineError("a name that comes twice")
+        pairs[pair[1]] = pair[2]
+    opened = Open(match[1], match[2], pairs)
+    if opened.number("d") < 1.0:
         raise LineError("no time to wait is given")
     return opened
 
 
+class Opening:
+    """What a submitter sends until its connection stands: a few probes, then one OPEN line and nothing behind it.
+
+    Bounded and linear, however much comes at once and in whatever pieces."""
+
+    __slots__ = ("rest", "probes")
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.probes = 0
+
+    def feed(self, data: bytes) -> tuple[bytes, Open | None]:
+        """What to answer to probes, and the OPEN line once it is there."""
+        data, self.rest, at, answers = self.rest + data, b"", 0, b""
+        while (end := data.find(b"\n", at, at + LONGEST)) >= 0:
+            line, at = data[at : end + 1], end + 1
+            if not line.endswith(END):
+                raise LineError("a line that does not end with CRLF")
+            line = line[:-2]
+            if line not in PROBES:
+                if at < len(data):
+                    raise LineError("more than one line at once")
+                return answers, parse_open(line)
+            self.probes += 1
+            if self.probes > PROBES_MOST:
+                raise LineError("too many probes")
+            answers += PROBES[line]
+        if len(data) - at >= LONGEST:
+            raise LineError("a first line that is too long")
+        self.rest = data[at:]
+        return answers, None
+
+
 def requeue_notice(after_ms: float) -> bytes:
     return b"BUSY %d\r\n" % round(after_ms) if after_ms >= 0.5 else b"BUSY\r\n"
 
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -25,6 +25,7 @@
     repeated: bool = False
     returned: bool = False
     at: str = ""  # the execute node that held it before the run
+    ref: str = ""  # the name that its submitter gave it; empty where the front made the job itself
 
 
 @dataclass(slots=True)
@@ -32,6 +33,13 @@
     job: int
 
 
+@dataclass(slots=True)
+class OutOfTurn:
+    """The submitter sent more while it had to wait for its answer."""
+
+    job: int
+
+
 @dataclass(slots=True)
 class NodeReached:
     job: int
@@ -61,16 +69,18 @@
 
 @dataclass(slots=True)
 class Asked:
-    """The submitter sent a line on a standing connection."""
+    """The submitter sent lines on a standing connection."""
 
     job: int
+    lines: int = 1
 
 
 @dataclass(slots=True)
 class Answered:
-    """The execute node sent a line back on it."""
+    """The execute node sent lines back on it."""
 
     job: int
+    lines: int = 1
 
 
 @dataclass(slots=True)
@@ -106,8 +116,15 @@
     within_ms: float
 
 
-Event = (JobArrived | SubmitterLeft | NodeReached | NodeUp | AttemptOver | LoadTold | Asked | Answered
-         | ListTold | Woke | Stop)
+@dataclass(slots=True)
+class Reloaded:
+    """The operator's new configuration: where the machine list is from now on."""
+
+    list_at: Address
+
+
+Event = (JobArrived | SubmitterLeft | OutOfTurn | NodeReached | NodeUp | AttemptOver | LoadTold | Asked | Answered
+         | ListTold | Woke | Stop | Reloaded)
 
 
 # --- effects ------------------------------------------------------------------------------------
@@ -191,9 +208,10 @@
 
 @dataclass(slots=True)
 class Watch:
-    """Watch the machine list, from this version on."""
+    """Watch the machine list at this address, from this version on; a watch at another address is given up for it."""
 
     version: int
+    address: Address | None = None
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -16,6 +16,7 @@
 from yarrowspindle.policy import Balancer
 from yarrowspindle.routing.ending import OUTCOMES, Ending
 from yarrowspindle.routing.messages import (
+    Address,
     Answered,
     Ask,
     Asked,
@@ -34,7 +35,9 @@
     NodeReached,
     NodeUp,
     Note,
+    OutOfTurn,
     Reach,
+    Reloaded,
     Requeue,
     Stop,
     SubmitterLeft,
@@ -52,6 +55,7 @@
 TELL_MS = 1000.0  # message times are told once a second for each node
 PINNED_MS = 38_000.0  # connections from before the run have 40 s to come up
 PINNED_AGAIN_MS = 400.0
+PATIENCE_MS = 1000.0  # a submitter that would wait for longer than its class's deadline and this is not believed
 EARLY_MS = 4.0  # the deadline's answer leaves this long before the submitter stops waiting
 STOP_BEAT_MS = 50.0
 STOP_QUIET_MS = 450.0  # after SIGTERM the front still sends new connections: who is moved now may come back here
@@ -63,19 +67,22 @@
 
 
 class Reducer:
-    def __init__(self, settings: Settings, seed: int, now: float) -> None:
-        self.settings, self.now = settings, now
+    def __init__(self, settings: Settings, seed: int, now: float, list_at: Address | None = None) -> None:
+        self.settings, self.now, self.list_at = settings, now, list_at
         self.balancer = Balancer(settings, seed, now)
         aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
         self.slow_ms = min(aims, default=0.0) / 3.0
         self.jobs: dict[int, Job] = {}
+        self.refs: set[str] = set()  # submitters' names of the jobs that are not over
+        self.begun = False  # a job has come that was not open before the run
         self.nodes: dict[str, Node] = {}
         self.numbers: dict[int, Node] = {}
         self.version = 0
         self.stop_at = 0.0  # when all must be over; 0: no stop
         self.effects: list[Effect] = [Wake(PULSE_MS, PULSE)]
         self.handlers: dict[type, Callable[[Any], None]] = {
-            JobArrived: self._arrived, SubmitterLeft: self._left, NodeReached: self._reached, NodeUp: self._up,
+            JobArrived: self._arrived, SubmitterLeft: self._left, OutOfTurn: self._out_of_turn,
+            NodeReached: self._reached, NodeUp: self._up, Reloaded: self._reloaded,
             AttemptOver: self._over, LoadTold: self._load, Asked: self._asked, Answered: self._answered,
             ListTold: self._list, Woke: self._woke, Stop: self._stop,
         }  # fmt: skip
@@ -107,7 +114,7 @@
         elif isinstance(action, module.SetTimer):
             self.effects.append(Wake(action.delay_ms, action.token))
         elif isinstance(action, module.Subscribe):
-            self.effects.append(Watch(self.version))
+            self.effects.append(Watch(self.version, self.list_at))
         elif isinstance(action, module.Log):
             self.effects.append(Note(action.text))
         # A Cancel needs nothing more: it only comes for a job whose submitter left, and _left ends the attempt.
@@ -142,6 +149,7 @@
         self._leave_node(job)
         job.step(Phase.OVER)
         del self.jobs[job.id]
+        self.refs.discard(job.ref)
         self.effects.append(Unwake(("deadline", job.id)))
 
     def _leave_node(self, job: Job) -> None:
@@ -176,7 +184,13 @@
     # --- jobs -----------------------------------------------------------------------------------
 
     def _arrived(self, event: JobArrived) -> None:
+        if event.ref and not self._believed(event):
+            self.effects.append(Deny(event.job))
+            return
         job = self.jobs[event.job] = Job(event.job, self.now, event.left_ms)
+        if event.ref:
+            job.ref = event.ref
+            self.refs.add(event.ref)
         if event.at:
             # A connection from before the run goes to the node that held it and nowhere else.
             job.adoption = module.Adopted(event.job, node_number(event.at), event.cls, event.tenant, event.key,
@@ -190,6 +204,18 @@
             self._tell(module.Request(event.job, event.cls, event.tenant, event.key, event.left_ms, event.load,
                                       event.group, event.repeated, False, event.returned))  # fmt: skip
 
+    def _believed(self, event: JobArrived) -> bool:
+        """Guards the nodes and the other jobs against a submitter that uses another's name, that would wait without
+        end, or that picks its node itself once the run has begun (that could be one that drains)."""
+        if event.ref in self.refs:
+            return False
+        if event.at:
+            return not self.begun
+        if event.left_ms > self.settings.classes[event.cls].deadline_ms + PATIENCE_MS:
+            return False
+        self.begun = True
+        return True
+
     def _pin(self, job: Job) -> None:
         if job.node is None or job.node.state is State.GONE:
             self._answer(job.id, Requeue(job.id, 0.0))
@@ -208,6 +234,12 @@
             self.effects.append(Drop(job.id, job.attempt))
             self._ended(job, Ending.SUBMITTER_LEFT, True)
 
+    def _out_of_turn(self, event: OutOfTurn) -> None:
+        job = self.jobs.get(event.job)
+        if job is not None and job.phase is not Phase.OPEN:
+            self._left(SubmitterLeft(job.id))
+            self.effects.append(Deny(job.id))
+
     def _current(self, job: int, attempt: int) -> Job | None:
         """The job, where word on this attempt still matters."""
         found = self.jobs.get(job)
@@ -253,14 +285,13 @@
     def _asked(self, event: Asked) -> None:
         job = self.jobs.get(event.job)
         if job is not None and job.phase is Phase.OPEN:
-            job.unanswered.append(self.now)
+            job.asked(self.now, event.lines)
 
     def _answered(self, event: Answered) -> None:
         job = self.jobs.get(event.job)
         if job is not None and job.node is not None and job.unanswered:
             job.node.heard = self.now
-            took = self.now - job.unanswered.popleft()
-            job.node.took.append(took)
+            job.node.took.append(self.now - job.answered(event.lines))
             self._tell_delay(job.node, job)
 
     def _tell_delay(self, node: Node, job: Job) -> None:
@@ -277,7 +308,7 @@
 
     def _pulse(self) -> None:
         self.effects.append(Wake(PULSE_MS, PULSE))
-        silent = [j for j in self.jobs.values() if j.unanswered and self.now >= j.unanswered[0] + SILENT_MS]
+        silent = [j for j in self.jobs.values() if j.unanswered and self.now >= j.unanswered[0][0] + SILENT_MS]
         # A machine that vanished says nothing and its connections stay open: guard against waiting on.
         mute = {j.node for j in silent if j.node is not None and j.node.heard < self.now - SILENT_MS}
         for job in silent:
@@ -322,6 +353,13 @@
         for name in [n for n, known in self.nodes.items() if known.state is State.GONE and not known.jobs]:
             del self.numbers[self.nodes.pop(name).number]
 
+    def _reloaded(self, event: Reloaded) -> None:
+        if event.list_at != self.list_at:
+            self.list_at = event.list_at
+            # Asked anew for the whole list: another service may count its versions in another way.
+            self.version = 0
+            self.effects.append(Watch(self.version, self.list_at))
+
     # --- time -----------------------------------------------------------------------------------
 
     def _woke(self, event: Woke) -> None:
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -25,8 +25,11 @@
 }
 
 
+UNANSWERED_MOST = 64
+
+
 class Job:
-    __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "adoption", "unanswered")
+    __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "adoption", "unanswered", "ref")
 
     def __init__(self, job: int, now: float, left_ms: float) -> None:
         self.id, self.phase = job, Phase.HELD
@@ -34,12 +37,31 @@
         self.node: Node | None = None  # of the newest attempt
         self.deadline, self.sent = now + left_ms, now
         self.adoption: Adopted | None = None  # open before the run, and not up again yet
-        self.unanswered: deque[float] = deque()  # when lines came that had no line back
+        self.unanswered: deque[list[float]] = deque()  # when lines came that had no line back, and how many
+        self.ref = ""  # its submitter's name for it
 
     @property
     def out(self) -> bool:
         return self.phase in (Phase.REACHING, Phase.ASKED)
 
+    def asked(self, now: float, lines: int) -> None:
+        """Bounded: a submitter that sends without end and is not answered adds to the last entry."""
+        if len(self.unanswered) < UNANSWERED_MOST:
+            self.unanswered.append([now, lines])
+        else:
+            self.unanswered[-1][1] += lines
+
+    def answered(self, lines: int) -> float:
+        """When the oldest of the lines came that have their answers now; 0: none was open."""
+        first = self.unanswered[0][0] if self.unanswered else 0.0
+        while lines > 0 and self.unanswered:
+            part = min(lines, self.unanswered[0][1])
+            lines -= int(part)
+            self.unanswered[0][1] -= part
+            if self.unanswered[0][1] <= 0:
+                self.unanswered.popleft()
+        return first
+
     def step(self, phase: Phase) -> None:
         if phase not in STEPS[self.phase]:
             raise ValueError(f"job {self.id}: no step from {self.phase.name} to {phase.name}")
--- a/yarrowspindle/transport/machine_list.py
+++ b/yarrowspindle/transport/machine_list.py
@@ -12,7 +12,7 @@
 
 
 class WatchSink(Protocol):
-    def list_told(self, told: ListTold) -> None: ...
+    def list_told(self, watch: WatchSide, told: ListTold) -> None: ...
     def watch_over(self, watch: WatchSide, why: str) -> None: ...
 
 
@@ -23,8 +23,12 @@
         self.transport: asyncio.Transport | None = None
         self.quiet: asyncio.TimerHandle | None = None
         self.over = False
+        self.told = False  # a list has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if self.over:  # given up while it came up
+            cast(asyncio.Transport, transport).abort()
+            return
         self.transport = cast(asyncio.Transport, transport)
         self.transport.write(watch_request(self.host, self.version))
         self._wait()
@@ -40,7 +44,8 @@
         self._wait()
         try:
             for told in self.answer.feed(data):
-                self.sink.list_told(told)
+                self.told = True
+                self.sink.list_told(self, told)
         except ListError as error:
             self.end(str(error))
             return
--- a/yarrowspindle/transport/node.py
+++ b/yarrowspindle/transport/node.py
@@ -19,8 +19,9 @@
 class NodeSink(Protocol):
     def node_reached(self, side: NodeSide) -> None: ...
     def node_up(self, side: NodeSide) -> None: ...
-    def node_answered(self, job: int) -> None: ...
+    def node_answered(self, job: int, lines: int) -> None: ...
     def node_load(self, job: int, load: float) -> None: ...
+    def node_lost(self, side: NodeSide) -> None: ...
     def node_over(self, side: NodeSide, ending: Ending) -> None: ...
     def bad_line(self, text: str) -> None: ...
 
@@ -50,6 +51,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
+            self.thrown += len(data)
             return
         if self.up:
             self._flow(data)
@@ -94,6 +96,7 @@
             self.sink.bad_line(f"an execute node sent {error}")
             self._over(Ending.BROKEN)
             return
+        answers = 0
         for line in whole:
             word = word_of(line)
             if word is Word.LOAD:
@@ -102,8 +105,9 @@
                     self.sink.node_load(self.job, load)
             else:
                 self.last = ANSWERS.get(word)
-                if self.last is None:
-                    self.sink.node_answered(self.job)
+                answers += self.last is None
+        if answers:
+            self.sink.node_answered(self.job, answers)
 
     def move(self, submitter: Side) -> None:
         """Send the submitter away, at once if its stream stands between two lines, else behind the line."""
@@ -141,6 +145,8 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.sink.node_lost(self)
         sent = self.asked and (self.transport is None or self.transport.get_write_buffer_size() == 0)
         self.transport = None
         if self.moving is not None:
--- a/yarrowspindle/transport/side.py
+++ b/yarrowspindle/transport/side.py
@@ -6,7 +6,9 @@
 import socket
 from typing import Any, cast
 
-GRACE_S = 0.5  # after our end of sending, for the peer to end as well
+GRACE_S = 0.5  # after our end of sending, for the peer to end as well, if it sends nothing more
+THROWN_S = 5.0  # for a peer that goes on sending: it reads our last line once it has sent all
+THROWN_MOST = 256 << 20
 
 
 class Side(asyncio.Protocol):
@@ -14,6 +16,8 @@
         self.transport: asyncio.Transport | None = None
         self.other: Side | None = None  # set once both sides flow
         self.closing = False
+        self.thrown = 0  # bytes that came after our end
+        self.late: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -53,10 +57,24 @@
         # reset would overtake our last line.
         if transport.can_write_eof():
             transport.write_eof()
-        asyncio.get_running_loop().call_later(GRACE_S, transport.abort)
+        loop = asyncio.get_running_loop()
+        self.late = loop.call_later(GRACE_S, self._linger, self.thrown, loop.time() + THROWN_S)
+
+    def _linger(self, thrown: int, until: float) -> None:
+        """A peer with much to send is heard out, within bounds; a reset could take our last line from it."""
+        loop = asyncio.get_running_loop()
+        if thrown < self.thrown < THROWN_MOST and loop.time() < until:
+            self.late = loop.call_later(GRACE_S, self._linger, self.thrown, until)
+        else:
+            self.abort()
 
     def abort(self) -> None:
         self.closing = True
         self.other = None
-        if self.transport is not None:
-            self.transport.abort()
+        if transport := self.alive:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.late is not None:
+            self.late.cancel()
+            self.late = None
--- a/yarrowspindle/transport/submitter.py
+++ b/yarrowspindle/transport/submitter.py
@@ -6,19 +6,20 @@
 from typing import Protocol
 
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, Open, parse_open
+from yarrowspindle.protocol.lines import LineError, Open, Opening
 from yarrowspindle.transport.side import Side
 
-FIRST_LINE_S = 20.0  # a connection that says nothing is ended after this
-KEPT = 1 << 16  # bytes kept before the connection stands; more stay in the kernel
+FIRST_LINE_S = 2.0  # a connection that has sent no OPEN line by then is ended, whatever else it said
 
 
 class SubmitterSink(Protocol):
+    def submitter_came(self, side: Submitter) -> None: ...
     def job_came(self, side: Submitter, opened: Open) -> None: ...
-    def job_asked(self, job: int) -> None: ...
+    def job_out_of_turn(self, job: int) -> None: ...
+    def job_asked(self, job: int, lines: int) -> None: ...
     def job_left(self, job: int) -> None: ...
     def submitter_lost(self, side: Submitter) -> None: ...
-    def bad_line(self, text: str) -> None: ...
+    def submitter_refused(self, side: Submitter, why: str) -> None: ...
 
 
 class Submitter(Side):
@@ -26,51 +27,47 @@
         super().__init__()
         self.sink = sink
         self.job = 0  # 0: no OPEN line so far
-        self.kept = b""
+        self.opening = Opening()
         self.gone = False  # its end was told
         self.wait: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.wait = asyncio.get_running_loop().call_later(FIRST_LINE_S, self.abort)
+        self.wait = asyncio.get_running_loop().call_later(FIRST_LINE_S, self._late)
+        self.sink.submitter_came(self)
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
-            return
-        if self.other is not None:
-            for _ in range(data.count(b"\n")):
-                self.sink.job_asked(self.job)
+            self.thrown += len(data)
+        elif self.other is not None:
+            self.sink.job_asked(self.job, data.count(b"\n"))
             self.other.write(data)
-            return
-        self.kept += data
-        if self.job and len(self.kept) > KEPT and (transport := self.alive):
-            transport.pause_reading()
-        while not self.job and not self.closing:
-            line, end, rest = self.kept.partition(lines.END)
-            if not end:
-                if len(line) > lines.LONGEST:
-                    self._refuse("a first line that is too long")
-                return
-            self.kept = rest
-            self._first(line)
-
-    def _first(self, line: bytes) -> None:
-        if line == b"PING":
-            self.write(lines.PONG)
-        elif line == b"STATS":
-            self.write(b"NO\r\n")
+        elif self.job:  # it has to wait for its answer; what it sends is neither kept nor passed on
+            self.sink.job_out_of_turn(self.job)
         else:
-            try:
-                opened = parse_open(line)
+            self._open(data)
+
+    def _open(self, data: bytes) -> None:
+        try:
+            answers, opened = self.opening.feed(data)
+            if answers:
+                self.write(answers)
+            if opened is not None:
                 self.sink.job_came(self, opened)
-            except LineError as error:
-                self._refuse(str(error))
-        if self.job:
-            self._heard()
+                self._heard()
+        except LineError as error:
+            self._refuse(str(error))
 
     def _refuse(self, why: str) -> None:
-        self.sink.bad_line(why)
+        self._heard()
         self.finish(lines.FAILED)
+        self.sink.submitter_refused(self, why)
+
+    def _late(self) -> None:
+        if self.opening.rest:
+            self._refuse("half a line")
+        else:
+            self.abort()
 
     def _heard(self) -> None:
         if self.wait is not None:
@@ -78,20 +75,18 @@
             self.wait = None
 
     def join(self, other: Side, first: bytes) -> None:
-        """Both sides flow from here; what the submitter sent early goes first."""
+        """Both sides flow from here."""
         self.write(first)
         self.other, other.other = other, self
-        kept, self.kept = self.kept, b""
-        if transport := self.alive:
-            transport.resume_reading()
-        if kept:
-            self.data_received(kept)
 
     def eof_received(self) -> bool:
+        if not self.job and not self.closing and self.opening.rest:
+            self._refuse("half a line")
         self._leave()
         return False  # the transport closes once all is written
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         self._heard()
         self._leave()
         self.transport = None
