Have clients wait by own load, and believe single broken connections less

Now, without message times: 3 broken connections within 1 s count; own load times the number of balancers over what the usable servers can do has clients wait from 0.5 on; a set-up that stands ends the time of being passed over. Ruled out: shorter rests after a first failure, other strikes (no gain).

--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -23,12 +23,16 @@
 GOLDEN = (5**0.5 - 1) / 2  # multiples of it spread evenly over a ring, whichever numbers are taken
 COVER = 8.0  # balancers that each server is drawn by: own counts are near one, one balancer's luck an eighth
 DEAR = 0.05  # a crossing that costs more of a request's worth than this is worth staying at home for
-COLD_PART = 0.25  # of the fall multiple, used of a cold server's budget; the rest is for chance
+COLD_PART = 0.75  # of the fall multiple, used of a cold server's budget; the rest is for chance
 AWAY = 30.0  # against other zones, in own load for each unit of capacity, where nobody tells who is slow
 MOVE_PART = 0.8  # chance of a move for a slow note, where the server is the only slow one
 SHED = 0.3  # the least of that chance, in a general overload where clients can be told to wait
 RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
 SPARE_MOST = 2.0  # and saved up for later
+STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
+CORE_MS = 1000.0  # load that one unit of capacity carries
+FULL, FULL_SPAN = 0.5, 0.1  # of what the usable servers can do: from where on clients are told to wait, and all of them
+BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
 
 
@@ -36,7 +40,7 @@
     """One server as this balancer knows it."""
 
     __slots__ = ("id", "zone", "cell", "capacity", "started", "ready", "open", "load", "strikes", "bad_until",
-                 "slow_until", "window", "budget", "message_ms")  # fmt: skip
+                 "slow_until", "window", "budget", "message_ms", "broke_at", "broke")  # fmt: skip
 
     def __init__(self, server: int) -> None:
         self.id = server
@@ -46,6 +50,7 @@
         self.strikes = 0  # failures not yet made up for
         self.bad_until = self.slow_until = -1.0
         self.message_ms = 0.0  # as last told
+        self.broke_at, self.broke = -1.0, 0  # connections that broke off of late: since when, how many
         self.window, self.budget = -1.0, 0.0  # cold budget: the window it stands for, the load left in it
 
 
@@ -93,6 +98,7 @@
         self.trouble: dict[int, float] = {}
         self.trouble_at = now - settings.fall_ms
         self.set_up = 0.0
+        self.filled_at, self.filled = -inf, 0.0
         self.spare = SPARE_MOST  # other attempts that may go out at once
         self.served, self.seen, self.mean_load = 0.0, now, 0.0  # _rate, _load
         self.held: dict[int, Job] = {}  # requests that wait for a usable server
@@ -141,7 +147,7 @@
             server.zone, server.cell, server.capacity = entry.zone, entry.cell, max(entry.capacity, 1e-6)
             if server.started != entry.started_ms:  # a new process: what the old one did says nothing of it
                 server.started, server.window, server.budget = entry.started_ms, -1.0, 0.0
-                server.strikes, server.bad_until = 0, -1.0
+                server.strikes, server.bad_until, server.slow_until = 0, -1.0, -1.0
             server.ready = entry.state is State.READY
         # Sorted by id: the order of a list must not decide anything. What is of no use any more is forgotten.
         self.servers = {i: s for i, s in sorted(self.servers.items()) if s.ready or s.open}
@@ -233,15 +239,20 @@
         settings = self.settings
         window = self.now // settings.fall_ms
         if server.window != window:
-            age = (self.now - server.started) / settings.cold_ms
-            ramp = settings.cold_share + (1.0 - settings.cold_share) * max(age, 0.0)
             part = server.capacity / (self.inner.arc * self.inner.usual)
             fair = self._rate() * settings.fall_ms * part
             # Whole connections, rounded at random: shares are far below one. Debt is carried over.
-            units = int(COLD_PART * settings.fall_multiple * ramp * fair + self.random())
+            units = int(COLD_PART * settings.fall_multiple * self._ramp(server) * fair + self.random())
             server.window, server.budget = window, min(server.budget, 0.0) + units * (self.mean_load or 1.0)
         return server.budget > 0.0
 
+    def _ramp(self, server: Server) -> float:
+        """The share of its capacity that a server has at least by now."""
+        if server.started <= 0.0 or self.now >= server.started + self.settings.cold_ms:
+            return 1.0
+        share = self.settings.cold_share
+        return share + (1.0 - share) * max(self.now - server.started, 0.0) / self.settings.cold_ms
+
     def _rate(self) -> float:
         """Own connections that ended well, a millisecond, averaged over about the time a cold server takes.
 
@@ -309,6 +320,9 @@
         """
         if self._misses(server, job):
             return True
+        # Where nobody tells who is slow, all that can be held against too much is our own load.
+        if self.blind and self.settings.retry_after and self._filled() > FULL + FULL_SPAN * self.random():
+            return True
         # Set-ups take most of their aim: the store they share has a queue. Fewer wait, more arrive.
         if self.set_up > 0.5 and self.random() < min(0.9, 2.0 * self.set_up - 1.0):
             return True
@@ -317,6 +331,19 @@
         trouble = self._trouble(server.zone)
         return trouble > 0.0 and self.random() < trouble ** (2 if server.open else 1)
 
+    def _filled(self) -> float:
+        """How full the usable servers are if the other balancers hold as much as this one; looked up now and then."""
+        if self.now >= self.filled_at + self.settings.fall_ms / 32.0:
+            usable = [s for s in self.ready if self.now >= s.bad_until]
+            # One that fails takes nothing new but carries what it holds; one that holds nothing may be dead.
+            self.filled = max(self._full(usable), self._full([s for s in self.ready if s in usable or s.open]))
+            self.filled_at = self.now
+        return self.filled
+
+    def _full(self, servers: list[Server]) -> float:
+        room = sum(s.capacity * self._ramp(s) for s in servers) * CORE_MS
+        return sum(s.load for s in servers) * self.settings.balancers / room if room > 0.0 else 0.0
+
     def _misses(self, server: Server, job: Job) -> bool:
         aim = self.settings.classes[job.cls].message_aim_ms
         return self.now < server.slow_until and 0.0 < aim < server.message_ms  # 0: the class states no aim
@@ -369,6 +396,8 @@
         self._took(min(1.0, event.latency_ms / self.settings.classes[job.cls].aim_ms))
         if job.server is not None:
             job.server.strikes //= 2
+            if not job.server.strikes:  # it stands: no reason to pass it over any longer
+                job.server.bad_until = -1.0
 
     def _took(self, part: float) -> None:
         """Keep in mind how much of their aim the last few set-ups took; one that failed took all of it."""
@@ -381,15 +410,16 @@
             raise ValueError(f"attempt {event.attempt} of request {event.request} is not out")
         job.out = False
         self._let_go(server, job)
-        if event.outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
+        broke = job.established and event.outcome is Outcome.RESET
+        dropped = broke and self._dropped(server)
+        if dropped or not broke and event.outcome not in (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT):
             # Passed over at once, for longer each time it fails again; then a request tries it.
             server.strikes += 1
-            rest = self.settings.classes[job.cls].deadline_ms * 2.0 ** (min(server.strikes, 4) - 1)
+            rest = self.settings.classes[job.cls].deadline_ms * 2.0 ** (min(server.strikes, STRIKES_MOST) - 1)
             server.bad_until = self.now + rest * (0.5 + self.random())
         if not job.established and event.outcome in (Outcome.ERROR, Outcome.TIMEOUT):
             self._took(1.0)
-        if job.established and event.outcome is Outcome.RESET:
-            # Dropped: the server sheds load that it cannot carry (or died, and then refuses connections).
+        if dropped:
             server.slow_until, server.message_ms = self.now + FORGET_MS, inf
         if event.outcome is Outcome.OK and self.settings.cold_ms > 0.0:
             self.served, self.seen = 1.0 + self._rate() * self.settings.cold_ms, self.now
@@ -414,6 +444,15 @@
                 self.out.append(Cancel(job.id, job.attempts - 1))
             self._close(job)
 
+    def _dropped(self, server: Server) -> bool:
+        """Whether a server sheds load that it cannot carry (or died, and then refuses connections).
+
+        One connection that breaks off says nothing of the others: networks and clients break them as well."""
+        if self.now > server.broke_at + BREAKS_MS:
+            server.broke_at, server.broke = self.now, 0
+        server.broke += 1
+        return server.broke >= (BREAKS if self.blind else 1)
+
     def _known(self, request: int) -> Job:
         job = self.jobs.get(request)
         if job is None:
