Hold back new jobs node by node by own load, and feed cold nodes of all zones

Now, without message times: a node that own load (times the balancers) fills to 0.55 gets nothing new; two more draws look for a better one, then the client is told to wait; cold nodes of all zones are fed, each by its share of the whole ring.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -23,7 +23,7 @@
     State,
     TimerDue,
 )
-from yarrowspindle.policy import BREAKS, Balancer
+from yarrowspindle.policy import BREAKS, ONE_FULL, Balancer
 
 TOLD = (RequestClass(500.0, 2000.0, message_aim_ms=90.0),)
 
@@ -307,15 +307,30 @@
         assert all((place(b, 2.0, n, load=20.0) or 0) != 3 for n in range(100, 160))
 
 
-@pytest.mark.parametrize(("tells", "refused"), [(False, True), (True, False)])
-def test_own_load_over_what_is_usable_has_clients_wait_where_nobody_tells(tells: bool, refused: bool) -> None:
+@pytest.mark.parametrize("tells", [False, True])
+def test_own_load_over_what_is_usable_has_clients_wait_where_nobody_tells(tells: bool) -> None:
     """Two of five servers died, their clients came at once, and the three others served nobody in time."""
     b = balancer(5, seed=1, tells_delay=tells, retry_after=True, max_retry_after_ms=2000.0, balancers=2)
-    for n in range(1, 31):
-        open_one(b, 0.0, n, load=50.0)  # 0.6 of what three can do, as the other balancer holds as much
-    assert place(b, 1.0, 100, load=50.0) is not None
+    for n in range(1, 20):
+        open_one(b, 0.0, n, load=50.0)
     b.handle(2.0, ServerList(ListKind.DELTA, [ServerEntry(i, state=State.GONE) for i in (4, 5)]))
-    (answer,) = b.handle(100.0, Request(101, left_ms=2000.0, load=50.0))
-    assert isinstance(answer, Refuse) == refused
-    if isinstance(answer, Refuse):
-        assert 1000.0 <= answer.retry_after_ms <= 2000.0
+    waits = []
+    for n in range(100, 160):
+        for action in b.handle(100.0 * n, Request(n, left_ms=2000.0, load=50.0)):
+            waits += [action.retry_after_ms] if isinstance(action, Refuse) else []
+    held = [2.0 * s.load / 1000.0 for s in b.ready]  # as full as they are if the other balancer holds as much
+    if tells:
+        assert not waits and max(held) > 1.0
+    else:
+        assert max(held) <= ONE_FULL + 0.1 and len(waits) > 20 and all(1000.0 <= w <= 2000.0 for w in waits)
+
+
+def test_cold_servers_of_other_zones_are_fed_where_nobody_tells() -> None:
+    """After a crash in a zone without a relay nobody fed its new processes until they were warm."""
+    b = Balancer(settings(zones=2, cross_zone_price=0.1, tells_delay=False, cold_ms=9000.0, cold_share=0.3,
+                          fall_multiple=3.0, fall_ms=1500.0), 3, 0.0)  # fmt: skip
+    b.handle(0.0, full_list(ServerEntry(1), ServerEntry(2, zone=1)))
+    for n in range(1, 60):
+        end(b, 100.0 * n, n, open_one(b, 100.0 * n, n, load=50.0))
+    b.handle(6000.0, ServerList(ListKind.DELTA, [ServerEntry(2, zone=1, started_ms=6000.0)]))
+    assert 2 in [place(b, 6001.0 + n, n, load=50.0) for n in range(100, 130)]
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -31,7 +31,8 @@
 SPARE_MOST = 2.0  # and saved up for later
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
 CORE_MS = 1000.0  # load that one unit of capacity carries
-FULL, FULL_SPAN = 0.5, 0.1  # of what the usable servers can do: from where on clients are told to wait, and all of them
+ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
+FULL, FULL_SPAN = 0.55, 0.1  # of what all usable ones can do: from where on clients are told to wait; all of them
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
 
@@ -205,12 +206,15 @@
         if job.ran_on is not None and self.settings.classes[job.cls].effect is not Effect.SAFE:
             inner = outer = Circle(self._repeat_group(job, job.ran_on))
         best = None
-        for circle, arc in ((inner, inner.arc), (outer, 1.0)):
+        fed = self.everywhere if self.blind else self.inner  # whose cold servers we feed
+        for circle, arc, last in ((inner, inner.arc, False), (outer, 1.0, False), (outer, 1.0, True)):
+            if last and (not self.blind or best is not None and not self._is_full(best)):
+                break  # two more draws only where own load says that the best of the others is full
             for _ in "12" if circle.pool else "":
                 place = (self.start + arc * self.random()) % 1.0 * circle.total
                 server = circle.pool[bisect(circle.bounds, place, 0, len(circle.pool) - 1)]
                 if self.now - server.started < self.settings.cold_ms and server.started > 0.0 and (
-                    circle is not self.inner or arc > circle.arc or not self._cold_allows(server)
+                    circle is not fed or arc > circle.arc or not self._cold_allows(server)
                 ):
                     continue
                 # Unequal servers and connections: own load over capacity stands for the own count.
@@ -239,7 +243,8 @@
         settings = self.settings
         window = self.now // settings.fall_ms
         if server.window != window:
-            part = server.capacity / (self.inner.arc * self.inner.usual)
+            fed = self.everywhere if self.blind else self.inner
+            part = server.capacity / (fed.arc * fed.usual)
             fair = self._rate() * settings.fall_ms * part
             # Whole connections, rounded at random: shares are far below one. Debt is carried over.
             units = int(COLD_PART * settings.fall_multiple * self._ramp(server) * fair + self.random())
@@ -321,7 +326,9 @@
         if self._misses(server, job):
             return True
         # Where nobody tells who is slow, all that can be held against too much is our own load.
-        if self.blind and self.settings.retry_after and self._filled() > FULL + FULL_SPAN * self.random():
+        if self.blind and self.settings.retry_after and (
+            self._is_full(server) or self._filled() > FULL + FULL_SPAN * self.random()
+        ):
             return True
         # Set-ups take most of their aim: the store they share has a queue. Fewer wait, more arrive.
         if self.set_up > 0.5 and self.random() < min(0.9, 2.0 * self.set_up - 1.0):
@@ -332,7 +339,7 @@
         return trouble > 0.0 and self.random() < trouble ** (2 if server.open else 1)
 
     def _filled(self) -> float:
-        """How full the usable servers are if the other balancers hold as much as this one; looked up now and then."""
+        """The same of all usable servers; looked up now and then."""
         if self.now >= self.filled_at + self.settings.fall_ms / 32.0:
             usable = [s for s in self.ready if self.now >= s.bad_until]
             # One that fails takes nothing new but carries what it holds; one that holds nothing may be dead.
@@ -340,7 +347,11 @@
             self.filled_at = self.now
         return self.filled
 
+    def _is_full(self, server: Server) -> bool:
+        return self._full([server]) > ONE_FULL
+
     def _full(self, servers: list[Server]) -> float:
+        """How full they are if the other balancers hold as much there as this one."""
         room = sum(s.capacity * self._ramp(s) for s in servers) * CORE_MS
         return sum(s.load for s in servers) * self.settings.balancers / room if room > 0.0 else 0.0
 
