Take the other relays' load from usual own load, not from own load now

A trace shows the first held to be 0.57 full (its own 6,700 of 23,500 times two) and refusing half of all that came for 14 s; true was 0.30. Before its own restart the other refused 62 for the same reason, who then found no relay up. Ruled out: the set-ups (40 ms), the lists, the nodes' health (none passed over). At fault: _full in policy.py multiplied own load now by the number of balancers. Now the fleet's load is usual own load (30 s mean) times the balancers, at least own load and at most own load times them; after a restart nothing is usual until it has lasted, while connections from before the run are. Bounds 0.5 and 0.6.

--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -30,9 +30,10 @@
 RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
 SPARE_MOST = 2.0  # and saved up for later
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
+USUAL_MS = 30_000.0  # own load is taken to be usual over this time
 CORE_MS = 1000.0  # load that one unit of capacity carries
-ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
-FULL, FULL_SPAN = 0.55, 0.1  # of what all usable ones can do: from where on clients are told to wait; all of them
+ONE_FULL = 0.5  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
+FULL, FULL_SPAN = 0.6, 0.1  # of what all usable ones can do: from where on clients are told to wait; all of them
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
 
@@ -99,7 +100,9 @@
         self.trouble: dict[int, float] = {}
         self.trouble_at = now - settings.fall_ms
         self.set_up = 0.0
-        self.filled_at, self.filled = -inf, 0.0
+        self.filled_at, self.filled = now, 0.0
+        self.usual, self.known_ms = 0.0, USUAL_MS  # own load of late, and for how long we know of it
+        self.fleet = float(settings.balancers)  # load of all balancers over our own
         self.spare = SPARE_MOST  # other attempts that may go out at once
         self.served, self.seen, self.mean_load = 0.0, now, 0.0  # _rate, _load
         self.held: dict[int, Job] = {}  # requests that wait for a usable server
@@ -339,8 +342,16 @@
         return trouble > 0.0 and self.random() < trouble ** (2 if server.open else 1)
 
     def _filled(self) -> float:
-        """The same of all usable servers; looked up now and then."""
-        if self.now >= self.filled_at + self.settings.fall_ms / 32.0:
+        """How full all usable servers are; looked up now and then."""
+        since = self.now - self.filled_at
+        if since >= self.settings.fall_ms / 32.0:
+            own = sum(s.load for s in self.servers.values())
+            if own > 0.0:
+                self.known_ms = min(self.known_ms + since, USUAL_MS)
+                self.usual += (own - self.usual) * min(1.0, since / self.known_ms)
+                # The others hold as much as we usually do: one that starts anew leaves its clients to us. If it is
+                # we who start anew, nothing is usual yet, and what we hold may be all there is.
+                self.fleet = min(max(self.usual / own * self.settings.balancers, 1.0), self.settings.balancers)
             usable = [s for s in self.ready if self.now >= s.bad_until]
             # One that fails takes nothing new but carries what it holds; one that holds nothing may be dead.
             self.filled = max(self._full(usable), self._full([s for s in self.ready if s in usable or s.open]))
@@ -351,9 +362,9 @@
         return self._full([server]) > ONE_FULL
 
     def _full(self, servers: list[Server]) -> float:
-        """How full they are if the other balancers hold as much there as this one."""
+        """How full they are if the other balancers hold there in proportion to what they hold in all."""
         room = sum(s.capacity * self._ramp(s) for s in servers) * CORE_MS
-        return sum(s.load for s in servers) * self.settings.balancers / room if room > 0.0 else 0.0
+        return sum(s.load for s in servers) * self.fleet / room if room > 0.0 else 0.0
 
     def _misses(self, server: Server, job: Job) -> bool:
         aim = self.settings.classes[job.cls].message_aim_ms
@@ -397,6 +408,8 @@
         job = Job(event.request, event.cls, self._load(event.load), self.now, 0.0)
         job.server = self.servers.setdefault(event.server, Server(event.server))
         job.attempts, job.out, job.established = 1, True, True
+        if not self.usual:  # these are what we usually hold
+            self.known_ms = 0.0
         self.jobs[job.id] = job
         self._hold_on(job.server, job)
 
