--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -32,7 +32,7 @@
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
 USUAL_MS = 30_000.0  # own load is taken to be usual over this time
 CORE_MS = 1000.0  # load that one unit of capacity carries
-ONE_FULL = 0.5  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
+ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
 FULL, FULL_SPAN = 0.6, 0.1  # of what all usable ones can do: from where on clients are told to wait; all of them
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
@@ -111,7 +111,7 @@
         self.out: list[Action] = []
         self.asking, self.failures = False, 0
         aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
-        self.blind = not settings.tells_delay  # until the first note comes after all
+        self.blind = not settings.tells_delay
         self.slow_ms = min(aims, default=0.0) / 3.0
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, AttemptEnded: self._ended, Established: self._established,
@@ -492,7 +492,6 @@
 
     def _slow(self, event: ServerSlow) -> None:
         """Told once a second while messages take long; silence means that we no longer know."""
-        self.blind = False
         server, job = self.servers.get(event.server), self.jobs.get(event.request)
         if server is None:
             return
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -72,8 +72,8 @@
             discovery=parse_address(str(data["discovery"])),
             seed=int(seed, 16) if isinstance(seed, str) else int(seed),
             # The platform's lines have no word for what a message takes, whatever the settings say of notes: an
-            # execute node brings a line back at once under any load (measured). Should one take long after all,
-            # the module is told, and goes by it from then on.
+            # execute node brings a line back at once under any load (measured). Where one takes long after all, the
+            # module is told of that node, and goes on judging the others by its own load.
             settings=replace(read_settings(dict(flatten(raw))), tells_delay=False),
             known=parse_list(known, names, ListKind.CACHED),
             names=names,
