--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,57 @@
+"""Who is let in while descriptors are short, against random steps; and the bound on the log."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yarrowspindle.program.door import SPARE, YOUNG_S, Door
+from yarrowspindle.program.log import AT_ONCE, Bounded
+
+
+class Ended:
+    def __init__(self) -> None:
+        self.aborted = False
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.lists(st.tuples(st.sampled_from("come known answer lose wait".split()), st.integers(0, 9)), max_size=120))
+def test_no_more_are_let_in_than_there_is_room_and_only_old_strangers_go(steps: list[tuple[str, int]]) -> None:
+    now, born = [0.0], dict[Any, float]()
+    door = Door(40 + SPARE, lambda: now[0])
+    jobs: set[Any] = set()
+    for step, pick in steps:
+        sides = [side for side in born if not side.aborted and side in door.held]
+        side = sides[pick % len(sides)] if sides else None
+        if step == "come":
+            if door.room():
+                side = cast(Any, Ended())
+                born[side] = now[0]
+                door.came(side)
+        elif step == "wait":
+            now[0] += pick * YOUNG_S / 4.0
+        elif side is not None and step == "known":
+            jobs.add(side)
+            door.known(side)
+        elif side is not None:
+            jobs.discard(side)
+            (door.answered if step == "answer" else door.lost)(side)
+        assert len(door.held) <= 40 and len(door.strangers) + len(door.leaving) <= door.strangers_most
+        assert not any(side.aborted for side in jobs), "a job is never ended for want of room"
+        assert all(now[0] >= born[side] + YOUNG_S for side in born if side.aborted)
+
+
+def test_warnings_that_strangers_cause_are_bounded() -> None:
+    now = [0.0]
+    log = Bounded(lambda: now[0])
+    for _ in range(10 * AT_ONCE):
+        log.warn("a bad line")
+    assert (log.said, log.unsaid) == (AT_ONCE, 9 * AT_ONCE)
+    now[0] = 1.0
+    log.warn("a bad line")
+    assert (log.said, log.unsaid) == (1, 0)
--- a/tests/test_reducer_model.py
+++ b/tests/test_reducer_model.py
@@ -30,12 +30,15 @@
     Move,
     NodeReached,
     NodeUp,
+    OutOfTurn,
     Reach,
+    Reloaded,
     Requeue,
     Stop,
     SubmitterLeft,
     Unwake,
     Wake,
+    Watch,
     Woke,
 )
 from yarrowspindle.routing.reducer import Reducer
@@ -121,6 +124,30 @@
             self.tell(SubmitterLeft(number))
             assert not (was_out and job.out), "the node's side is given up"
 
+    @rule(draw=st.integers(0, 9))
+    def out_of_turn(self, draw: int) -> None:
+        number = self.pick(draw, open=False)
+        if number:
+            self.tell(OutOfTurn(number))
+            assert self.jobs[number].over, "it is denied, and nothing is left out"
+
+    @rule(left=st.sampled_from((DEADLINE, 90_000.0)), ref=st.sampled_from("abc"), at=st.sampled_from(("", "b")))
+    def named(self, left: float, ref: str, at: str) -> None:
+        """A submitter that uses an open job's name, would wait without end, or picks its node in mid-run is denied."""
+        number = next(self.numbers)
+        taken = ref in self.reducer.refs
+        self.jobs[number] = Seen(self.now + (38_000.0 if at else left))
+        begun = self.reducer.begun
+        self.tell(JobArrived(number, left, at=at, ref=ref))
+        if taken or left > DEADLINE and not at or at and begun:
+            assert self.jobs[number].over and self.jobs[number].attempts == 0 and (ref in self.reducer.refs) == taken
+
+    @rule(port=st.integers(1, 2))
+    def reload(self, port: int) -> None:
+        before = self.reducer.list_at
+        effects = self.reducer.step(self.now, Reloaded(("127.0.0.1", port)))
+        assert effects == ([] if before == ("127.0.0.1", port) else [Watch(0, ("127.0.0.1", port))])
+
     @rule(draw=st.integers(0, 9), load=st.floats(0.0, 900.0), answered=st.booleans())
     def talk(self, draw: int, load: float, answered: bool) -> None:
         number = self.pick(draw, open=True)
