--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,6 +11,9 @@
 from yarrowspindle.program.log import AT_ONCE, Bounded
 
 
+STEPS = ["come"] * 5 + ["known"] * 2 + ["answer", "lose", "wait"]
+
+
 class Ended:
     def __init__(self) -> None:
         self.aborted = False
@@ -20,7 +23,7 @@
 
 
 @settings(derandomize=True, max_examples=100)
-@given(st.lists(st.tuples(st.sampled_from("come known answer lose wait".split()), st.integers(0, 9)), max_size=120))
+@given(st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 9)), max_size=120))
 def test_no_more_are_let_in_than_there_is_room_and_only_old_strangers_go(steps: list[tuple[str, int]]) -> None:
     now, born = [0.0], dict[Any, float]()
     door = Door(40 + SPARE, lambda: now[0])
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -32,8 +32,8 @@
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
 USUAL_MS = 30_000.0  # own load is taken to be usual over this time
 CORE_MS = 1000.0  # load that one unit of capacity carries
-ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, by own load and while nobody tells who is slow
-FULL, FULL_SPAN = 0.6, 0.1  # of what all usable ones can do: from where on clients are told to wait; all of them
+ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, while nobody tells who is slow
+FULL, FULL_SPAN = 0.6, 0.1  # the same of all usable ones: from where on clients are told to wait; all
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
 
@@ -349,12 +349,14 @@
             if own > 0.0:
                 self.known_ms = min(self.known_ms + since, USUAL_MS)
                 self.usual += (own - self.usual) * min(1.0, since / self.known_ms)
-                # The others hold as much as we usually do: one that starts anew leaves its clients to us. If it is
-                # we who start anew, nothing is usual yet, and what we hold may be all there is.
-                self.fleet = min(max(self.usual / own * self.settings.balancers, 1.0), self.settings.balancers)
+                # The others hold as much as we usually do: one that starts anew leaves its clients to us.
+                # If it is we who start anew, nothing is usual yet, and what we hold may be all there is.
+                balancers = self.settings.balancers
+                self.fleet = min(max(self.usual / own * balancers, 1.0), balancers)
             usable = [s for s in self.ready if self.now >= s.bad_until]
             # One that fails takes nothing new but carries what it holds; one that holds nothing may be dead.
-            self.filled = max(self._full(usable), self._full([s for s in self.ready if s in usable or s.open]))
+            holding = [s for s in self.ready if s in usable or s.open]
+            self.filled = max(self._full(usable), self._full(holding))
             self.filled_at = self.now
         return self.filled
 
