--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,7 +10,6 @@
 from yarrowspindle.program.door import SPARE, YOUNG_S, Door
 from yarrowspindle.program.log import AT_ONCE, Bounded
 
-
 STEPS = ["come"] * 5 + ["known"] * 2 + ["answer", "lose", "wait"]
 
 
