--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,8 +4,8 @@
 
 from random import Random
 
-from tests.helpers import settings
-from yarrowspindle.interface import ListKind, RequestClass, State
+from tests.helpers import end, open_one, sends, settings
+from yarrowspindle.interface import ListKind, Request, RequestClass, ServerEntry, ServerList, State
 from yarrowspindle.policy import Balancer
 from yarrowspindle.routing.figures import Figures, Kind
 from yarrowspindle.routing.messages import FigureTold, JobArrived, ListTold, Machine, NodeReached, NodeUp, Woke
@@ -23,6 +23,29 @@
     return Balancer(settings(**(values | changes)), number + 1, 0.0)
 
 
+def test_where_most_servers_are_replaced_the_cold_ones_are_fed_by_forty_balancers() -> None:
+    """At more than eight balancers no cold server was ever drawn: the wider circle was drawn from whole, and cold
+    servers are only fed along a balancer's arc."""
+    old = [ServerEntry(n, zone=n % 3, capacity=4.0) for n in range(1, 25)]
+    new = [ServerEntry(n, zone=n % 3, capacity=4.0, started_ms=30_000.0) for n in range(25, 61)]
+    fed = 0
+    in_window = dict.fromkeys(range(25, 61), 0)
+    for number in range(RELAYS):
+        b = by_own_load(number)
+        b.handle(0.0, ServerList(ListKind.CACHED, old))
+        for n in range(1, 30):  # one a second comes and ends
+            end(b, 1000.0 * n, n, open_one(b, 1000.0 * n, n, load=40.0))
+        b.handle(30_000.0, ServerList(ListKind.DELTA, new))
+        for n in range(100, 104):
+            for send in sends(b.handle(30_000.0 + 300.0 * (n - 100), Request(n, left_ms=4800.0, load=40.0))):
+                if send.server > 24:
+                    fed += 1
+                    in_window[send.server] += 1
+    assert fed >= 20  # of 160; none before
+    # 160 connections in 1.5 s are the fair share of 60 servers of 100 connections each, filled over 9 s.
+    assert max(in_window.values()) <= 3.0 * 0.31 * 100.0 * 1.5 / 9.0
+
+
 def test_what_a_message_takes_is_not_taken_for_a_load() -> None:
     """A node whose messages took 134 ms was believed to carry next to nothing, and got more for it."""
     figures = Figures(50.0)
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect
 from collections.abc import Callable
+from itertools import accumulate
 from math import exp, inf
 from random import Random
 from typing import Any
@@ -27,10 +29,6 @@
 RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
 SPARE_MOST = 2.0  # and saved up for later
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
-USUAL_MS = 30_000.0  # own load is taken to be usual over this time
-CORE_MS = 1000.0  # load that one unit of capacity carries
-ONE_FULL = 0.55  # of what a server can do: where it gets nothing new, while nobody tells who is slow
-FULL, FULL_SPAN = 0.6, 0.1  # the same of all usable ones: from where on clients are told to wait; all
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 RETURNED_DRAWS = 16  # for clients that come again while servers are levelled: two seldom find who has room
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
@@ -40,7 +38,7 @@
     """One server as this balancer knows it."""
 
     __slots__ = ("id", "zone", "cell", "capacity", "started", "ready", "open", "load", "strikes", "bad_until",
-                 "slow_until", "window", "budget", "message_ms", "broke_at", "broke")  # fmt: skip
+                 "slow_until", "message_ms", "broke_at", "broke")  # fmt: skip
 
     def __init__(self, server: int) -> None:
         self.id = server
@@ -51,7 +49,6 @@
         self.bad_until = self.slow_until = -1.0
         self.message_ms = 0.0  # as last told
         self.broke_at, self.broke = -1.0, 0  # connections that broke off of late: since when, how many
-        self.window, self.budget = -1.0, 0.0  # cold budget: the window it stands for, the load left in it
 
 
 class Job:
@@ -84,14 +81,13 @@
         if settings.cross_zone_price > DEAR:
             self.inner = Ring(settings.balancers / settings.zones)
         self.held_at: dict[int, Server] = {}  # servers that hold something of ours, or are told to be slow
-        self.odd: dict[int, Server] = {}  # servers that may be cold, failing, or gone and still held
-        self.own = 0.0  # own load on all servers
+        self.young: dict[int, Server] = {}  # servers that may be cold
+        self.cold: list[Server] = []  # those that we feed, as last looked up, and sums of what they can do
+        self.cold_ends: list[float] = []
+        self.cold_at, self.fed_at = -inf, now
         self.jobs: dict[int, Job] = {}
         self.trouble: dict[int, float] = {}
         self.trouble_at, self.set_up = now - settings.fall_ms, 0.0
-        self.filled_at, self.filled = now, 0.0
-        self.usual, self.known_ms = 0.0, USUAL_MS  # own load of late, and for how long we know of it
-        self.fleet = float(settings.balancers)  # load of all balancers over our own
         self.spare = SPARE_MOST  # other attempts that may go out at once
         self.served, self.seen, self.mean_load = 0.0, now, 0.0  # _rate, _load
         self.level = 0.0  # own load for each unit of capacity that servers are levelled to; 0: they are not
@@ -147,7 +143,7 @@
                 self._usable(server, False)
             server.zone, server.cell, server.capacity = entry.zone, entry.cell, max(entry.capacity, 1e-6)
             if server.started != entry.started_ms:  # a new process: what the old one did says nothing of it
-                server.started, server.window, server.budget = entry.started_ms, -1.0, 0.0
+                server.started = entry.started_ms
                 server.strikes, server.bad_until, server.slow_until = 0, -1.0, -1.0
             self._usable(server, entry.state is State.READY)
         for ring in (self.inner, self.everywhere):
@@ -167,20 +163,19 @@
                 ring.drop(server)
             elif ring is self.everywhere or server.zone == self.settings.zone:
                 ring.put(server)
-        self.servers[server.id] = self.odd[server.id] = server
+        self.servers[server.id] = self.young[server.id] = server
         if not ready and not server.open:
-            for book in (self.servers, self.odd, self.held_at):
+            for book in (self.servers, self.young, self.held_at):
                 book.pop(server.id, None)
 
     def _hold_on(self, server: Server, job: Job) -> None:
         server.open += 1
         server.load += job.load
-        self.own += job.load
         self._mark(server)
 
     def _mark(self, server: Server) -> None:
         if server.ready or server.open:  # no longer one of the many that are usable and hold nothing
-            self.held_at[server.id] = self.odd[server.id] = server
+            self.held_at[server.id] = server
 
     def _load(self, load: float) -> float:
         """The load told; else the mean of those told of late, so that a site without hints compares alike."""
@@ -191,7 +186,6 @@
     def _let_go(self, server: Server, job: Job) -> None:
         server.open -= 1
         server.load -= job.load
-        self.own -= job.load
         if not server.open:
             server.load = 0.0
             if not server.ready:
@@ -214,6 +208,9 @@
 
     def _choose(self, job: Job) -> Server | None:
         """The ordinary path: two ready servers at random, the one with fewer own open connections."""
+        if (cold := self._feed()) is not None and (
+                job.ran_on is None or self.settings.classes[job.cls].effect is Effect.SAFE):
+            return cold
         inner, outer = self.inner, self.everywhere
         # What home is short of goes to all zones, or the first servers back there would get all of it.
         if inner.total < inner.usual and self.random() * inner.usual >= inner.total:
@@ -224,15 +221,10 @@
         level, draws = (self.level, RETURNED_DRAWS) if self.level and job.returned else (0.0, 2)
         luck = Random(job.group).random if level and job.group else self.random
         best = None
-        fed = self.everywhere if self.blind else self.inner  # whose cold servers we feed
-        for circle, arc, last in ((inner, inner.arc, False), (outer, 1.0, False), (outer, 1.0, True)):
-            if last and (not self.blind or best is not None and not self._is_full(best)):
-                break  # two more draws only where own load says that the best of the others is full
+        for circle, arc in ((inner, inner.arc), (outer, 1.0)):
             for _ in range(draws if circle.size else 0):
                 server = circle.draw(luck, 0.0 if luck is not self.random else self.start, arc)
-                if self.now - server.started < self.settings.cold_ms and server.started > 0.0 and (
-                    circle is not fed or arc > circle.arc or not self._cold_allows(server)
-                ):
+                if server.started > 0.0 and self.now - server.started < self.settings.cold_ms:
                     continue
                 # Unequal servers and connections: own load over capacity stands for the own count.
                 if best is None or self._rank(server) < self._rank(best):
@@ -253,22 +245,29 @@
 
     # --- cold budget ----------------------------------------------------------------------------
 
-    def _cold_allows(self, server: Server) -> bool:
-        """Whether our own share of a cold server's budget has room in this window.
+    def _feed(self) -> Server | None:
+        """A cold server, as often as our part of the budget of all cold ones that we feed allows.
 
-        Only balancers whose arc holds the server feed it, each no more than its ordinary share of its own
-        traffic along the guaranteed ramp, so the fleet keeps rule 4 however busy the others are.
+        Each balancer feeds no more than its ordinary share of its own traffic along the guaranteed ramp, so
+        the fleet keeps rule 4 however busy the others are. By chance with each request: if each waited till
+        it had saved up for a whole connection, all would send theirs in one moment.
         """
         settings = self.settings
-        window = self.now // settings.fall_ms
-        if server.window != window:
-            fed = self.everywhere if self.blind else self.inner
-            part = server.capacity / (fed.arc * fed.usual)
-            fair = self._rate() * settings.fall_ms * part
-            # Whole connections, rounded at random: shares are far below one. Debt is carried over.
-            units = int(COLD_PART * settings.fall_multiple * self._ramp(server) * fair + self.random())
-            server.window, server.budget = window, min(server.budget, 0.0) + units * (self.mean_load or 1.0)
-        return server.budget > 0.0
+        fed = self.everywhere if self.blind else self.inner  # whose cold servers we feed
+        if self.now >= self.cold_at + settings.fall_ms / 32.0:
+            self.cold_at = self.now
+            self.young = {s.id: s for s in self.young.values() if s.ready and self._ramp(s) < 1.0}
+            self.cold = [s for s in self.young.values() if fed is self.everywhere or s.zone == settings.zone]
+            self.cold_ends = list(accumulate(s.capacity * self._ramp(s) for s in self.cold))
+        since, self.fed_at = self.now - self.fed_at, self.now
+        if not self.cold:
+            return None
+        part = COLD_PART * settings.fall_multiple * self.cold_ends[-1] / fed.usual
+        if self.random() >= part * self._rate() * min(since, 2.0 * settings.fall_ms):
+            return None
+        two = (self.cold[bisect(self.cold_ends, self.random() * self.cold_ends[-1])] for _ in range(2))
+        server = min(two, key=self._rank)
+        return server if server.ready and self.now >= server.bad_until else None
 
     def _ramp(self, server: Server) -> float:
         """The share of its capacity that a server has at least by now."""
@@ -318,7 +317,6 @@
             self.held.pop(job.id, None)
             job.attempts += 1
             job.server, job.out, job.sent = server, True, self.now
-            server.budget -= job.load
             self._hold_on(server, job)
             self.out.append(Send(job.id, server.id, 0.0))
         elif job.id not in self.held:
@@ -345,11 +343,6 @@
         """
         if self._misses(server, job):
             return True
-        # Where nobody tells who is slow, all that can be held against too much is our own load.
-        if self.blind and self.settings.retry_after and (
-            self._is_full(server) or self._filled() > FULL + FULL_SPAN * self.random()
-        ):
-            return True
         # Set-ups take most of their aim: the store they share has a queue. Fewer wait, more arrive.
         if self.set_up > 0.5 and self.random() < min(0.9, 2.0 * self.set_up - 1.0):
             return True
@@ -358,40 +351,6 @@
         trouble = self._trouble(server.zone)
         return trouble > 0.0 and self.random() < trouble ** (2 if server.open else 1)
 
-    def _filled(self) -> float:
-        """How full all usable servers are; looked up now and then."""
-        since = self.now - self.filled_at
-        if since >= self.settings.fall_ms / 32.0:
-            if self.own > 0.0:
-                self.known_ms = min(self.known_ms + since, USUAL_MS)
-                self.usual += (self.own - self.usual) * min(1.0, since / self.known_ms)
-                # The others hold as much as we usually do: one that starts anew leaves its clients to us.
-                # If it is we who start anew, nothing is usual yet, and what we hold may be all there is.
-                balancers = self.settings.balancers
-                self.fleet = min(max(self.usual / self.own * balancers, 1.0), balancers)
-            # One that fails takes nothing new but carries what it holds; one that holds nothing may be dead.
-            load, room, bad_load, bad_room, dead = self.own, self.everywhere.total, 0.0, 0.0, 0.0
-            for s in list(self.odd.values()):
-                bad, able = self.now < s.bad_until, s.capacity * self._ramp(s)
-                if not s.ready:
-                    load -= s.load
-                elif not bad and able >= s.capacity:
-                    del self.odd[s.id]
-                else:
-                    room -= s.capacity - able
-                    bad_load, bad_room = bad_load + s.load * bad, bad_room + able * bad
-                    dead += able * (bad and not s.open)
-            self.filled = max(self._part(load - bad_load, room - bad_room), self._part(load, room - dead))
-            self.filled_at = self.now
-        return self.filled
-
-    def _is_full(self, server: Server) -> bool:
-        return self._part(server.load, server.capacity * self._ramp(server)) > ONE_FULL
-
-    def _part(self, load: float, room: float) -> float:
-        """How full that is if the other balancers hold there in proportion to what they hold in all."""
-        return load * self.fleet / (room * CORE_MS) if room > 1e-9 else 0.0
-
     def _misses(self, server: Server, job: Job) -> bool:
         aim = self.settings.classes[job.cls].message_aim_ms
         return self.now < server.slow_until and 0.0 < aim < server.message_ms  # 0: the class states no aim
@@ -436,8 +395,6 @@
         job = Job(event.request, event.cls, self._load(event.load), self.now, 0.0)
         job.server = self.servers.setdefault(event.server, Server(event.server))
         job.attempts, job.out, job.established = 1, True, True
-        if not self.usual:  # these are what we usually hold
-            self.known_ms = 0.0
         self.jobs[job.id] = job
         self._hold_on(job.server, job)
 
@@ -518,7 +475,6 @@
         if job is not None and job.out and job.server is not None:
             load = self._load(event.load)
             job.server.load += load - job.load
-            self.own += load - job.load
             job.load = load
 
     def _slow(self, event: ServerSlow) -> None:
@@ -540,9 +496,12 @@
             if server.open > 1:
                 held = (j for j in self.jobs.values() if j.server is server and j.established and j.owed)
                 job = max(held, key=lambda j: j.load, default=job)
-            if job.established and job.owed:
-                job.owed = False
-                self.out.append(Move(job.id))
+            self._move(job)
+
+    def _move(self, job: Job) -> None:
+        if job.out and job.established and job.owed:
+            job.owed = False
+            self.out.append(Move(job.id))
 
     # --- timers ---------------------------------------------------------------------------------
 
