--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,7 +41,7 @@
                 if send.server > 24:
                     fed += 1
                     in_window[send.server] += 1
-    assert fed >= 20  # of 160; none before
+    assert fed >= 40  # of 160; two with a budget for each server, in whole connections
     # 160 connections in 1.5 s are the fair share of 60 servers of 100 connections each, filled over 9 s.
     assert max(in_window.values()) <= 3.0 * 0.31 * 100.0 * 1.5 / 9.0
 
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -23,6 +23,7 @@
 GOLDEN = (5**0.5 - 1) / 2  # multiples of it spread evenly over a ring, whichever numbers are taken
 DEAR = 0.05  # a crossing that costs more of a request's worth than this is worth staying at home for
 COLD_PART = 0.75  # of the fall multiple, used of a cold server's budget; the rest is for chance
+HEADROOM = 2.0  # what fills a server, over its share of what stands as a rule
 AWAY = 90.0  # against other zones, in load of all balancers a unit of capacity, where we go by own load
 MOVE_PART = 0.8  # chance of a move for a slow note, where the server is the only slow one
 SHED = 0.3  # the least of that chance, in a general overload where clients can be told to wait
@@ -84,7 +85,7 @@
         self.young: dict[int, Server] = {}  # servers that may be cold
         self.cold: list[Server] = []  # those that we feed, as last looked up, and sums of what they can do
         self.cold_ends: list[float] = []
-        self.cold_at, self.fed_at = -inf, now
+        self.cold_at, self.fed_at, self.standing = -inf, now, 0
         self.jobs: dict[int, Job] = {}
         self.trouble: dict[int, float] = {}
         self.trouble_at, self.set_up = now - settings.fall_ms, 0.0
@@ -170,6 +171,7 @@
 
     def _hold_on(self, server: Server, job: Job) -> None:
         server.open += 1
+        self.standing += 1
         server.load += job.load
         self._mark(server)
 
@@ -185,6 +187,7 @@
 
     def _let_go(self, server: Server, job: Job) -> None:
         server.open -= 1
+        self.standing -= 1
         server.load -= job.load
         if not server.open:
             server.load = 0.0
@@ -248,9 +251,10 @@
     def _feed(self) -> Server | None:
         """A cold server, as often as our part of the budget of all cold ones that we feed allows.
 
-        Each balancer feeds no more than its ordinary share of its own traffic along the guaranteed ramp, so
-        the fleet keeps rule 4 however busy the others are. By chance with each request: if each waited till
-        it had saved up for a whole connection, all would send theirs in one moment.
+        A cold server takes new connections no faster than fills it over its warm-up, by the guaranteed ramp.
+        Each balancer adds its part: of what it holds itself, or ends well in such a time, what falls to these
+        servers; so the fleet keeps rule 4 however busy the others are, and whoever comes again and again. By
+        chance with each request: if each saved up for a whole one, all would send theirs in one moment.
         """
         settings = self.settings
         fed = self.everywhere if self.blind else self.inner  # whose cold servers we feed
@@ -262,8 +266,9 @@
         since, self.fed_at = self.now - self.fed_at, self.now
         if not self.cold:
             return None
-        part = COLD_PART * settings.fall_multiple * self.cold_ends[-1] / fed.usual
-        if self.random() >= part * self._rate() * min(since, 2.0 * settings.fall_ms):
+        part = COLD_PART * HEADROOM * settings.fall_multiple * self.cold_ends[-1] / fed.usual
+        stands = max(self.standing / settings.cold_ms, self._rate())
+        if self.random() >= part * stands * min(since, 2.0 * settings.fall_ms):
             return None
         two = (self.cold[bisect(self.cold_ends, self.random() * self.cold_ends[-1])] for _ in range(2))
         server = min(two, key=self._rank)
