Pass over word of the machine list that is older than what is known

Checked over sockets: 503, resets, no HTTP, no JSON, lists without members, bad members and cut-off lists already ended in spread, growing calls with the last list kept (now tests). Not so a list that goes back: list_watch.list_told handed on any revision, so a stale copy of the service undid a drain and the draining node got jobs again. Now changes behind the newest revision are passed over, and a whole list behind it is asked for once more and believed if it comes again, as a service may count anew.

--- /dev/null
+++ b/tests/test_fleet_daemon.py
@@ -0,0 +1,106 @@
+"""Bad input of a crowded machine list, against the real program: few calls, the last good list kept, jobs served."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.stand_ins import World, relay
+
+
+def chunk(line: str) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + f"{len(line):x}\r\n{line}\r\n".encode()
+
+
+BAD = {
+    "refuses": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+    "resets": b"",
+    "no HTTP": b"\x00\xffwhat\r\n\r\n",
+    "no JSON": chunk("{\n"),
+    "no members": chunk('{"revision":7,"complete":true}\n'),
+    "bad member": chunk('{"revision":7,"complete":true,"members":[{"id":"s-1"}]}\n'),
+    "cut off": chunk('{"revision":7,"complete":true,"members":[')[:-9],
+}
+
+
+async def serves(w: World) -> None:
+    """A job is placed on a node of the list that was known before."""
+    submitter, _, node = await w.standing()
+    node.say("BYE")
+    node.writer.close()
+    assert await submitter.hear() == "BYE"
+
+
+@pytest.mark.parametrize("how", BAD)
+def test_a_failing_machine_list_is_asked_with_growing_waits_and_the_last_list_stays(how: str, tmp_path: Path) -> None:
+    async def body() -> None:
+        async with relay(tmp_path) as w:
+            asked = []
+            for _ in range(5):
+                assert (await w.watched()).endswith("index=1 HTTP/1.1"), "from the last good revision on"
+                asked.append(time.monotonic())
+                w.watch.writer.write(BAD[how])
+                await w.watch.writer.drain()
+                w.watch.writer.close()
+                await serves(w)
+            # The k-th wait is at least k eighths of ask_within_ms (200 ms here): a second in all for ten.
+            assert asked[-1] - asked[0] >= 0.125 * 0.2 * (1 + 2 + 3 + 4)
+            await w.watched()
+            w.answer_watch(w.member("s-1"), w.member("s-2"))
+            w.tell("s-1", "draining")
+            await serves(w)
+
+    asyncio.run(body())
+
+
+def test_a_machine_list_that_hangs_costs_one_call_and_nobody_waits_for_it(tmp_path: Path) -> None:
+    async def body() -> None:
+        async with relay(tmp_path) as w:
+            await w.watched()
+            for _ in range(5):
+                await serves(w)
+            assert w.list.came.empty()
+
+    asyncio.run(body())
+
+
+def test_word_that_is_older_than_what_is_known_does_not_undo_a_drain(tmp_path: Path) -> None:
+    """A stale copy of the service told the list of before a drain, and the draining node got jobs again."""
+
+    async def body() -> None:
+        async with relay(tmp_path) as w:
+            await w.watched()
+            w.version = 40
+            w.answer_watch(w.member("s-1"), w.member("s-2"))
+            w.tell("s-1", "draining")
+            w.version = 20
+            w.tell("s-1", "ready")  # late word: passed over
+            w.version = 42
+            w.tell("s-2", "ready")
+            w.watch.writer.write(b"0\r\n\r\n")
+            assert (await w.watched()).endswith("index=43 HTTP/1.1")
+            w.version = 30
+            w.answer_watch(w.member("s-1"), w.member("s-2"))  # a whole list that is older: asked for once more
+            assert (await w.watched()).endswith("index=43 HTTP/1.1")
+            for _ in range(8):
+                submitter, name, node = await w.standing()
+                assert name == "s-2"
+                node.say("BYE")
+                node.writer.close()
+                await submitter.hear()
+            w.version = 30
+            w.answer_watch(w.member("s-1"), w.member("s-2"))  # it says so again: the service counts anew
+            w.tell("s-2", "gone")
+            while True:
+                submitter = await w.job()
+                name, node, _ = await w.placed()
+                node.say("UP r1", "BYE")
+                node.writer.close()
+                await submitter.hear()
+                if name == "s-1":
+                    break
+
+    asyncio.run(body())
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -23,6 +23,8 @@
         self.watching: asyncio.Task[None] | None = None
         self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
         self.closed = False
+        self.version = 0  # the newest that was told since `ask` last wanted the whole list
+        self.older = False  # the last watch was ended because its whole list was older than that
 
     def ask(self, version: int, address: Address) -> None:
         """Watches the list at this address from this version on; a watch that is there already goes on."""
@@ -36,6 +38,7 @@
                 replaced.end("the machine list is elsewhere now")
             if self.watching is not None:
                 self.watching.cancel()
+        self.version = max(version, self.version) if version else 0
         host, port = self.watch_at = address
         self.watch = WatchSide(self, self.names, f"{host}:{port}", version)
         self.watching = asyncio.get_running_loop().create_task(self._open(self.watch, address))
@@ -58,6 +61,17 @@
     # --- reports of the transport ---------------------------------------------------------------
 
     def list_told(self, watch: WatchSide, told: ListTold) -> None:
+        """Word that is older than what is known would undo drains. A whole list like that is asked for once more, and
+        believed then: the service may count anew."""
+        if watch is self.watch and 0 < told.version < self.version:
+            if told.kind is ListKind.DELTA:
+                return
+            if not self.older:
+                self.older = True
+                watch.end(f"a whole list of revision {told.version}, older than {self.version}")
+                return
+        if watch is self.watch:
+            self.version, self.older = told.version, False
         if watch is self.watch and self.former is not None:
             former, self.former = self.former, None
             former.end("another has taken its place")
