--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -120,7 +120,7 @@
         return False
 
     for node in bad:
-        node.take = turn_away  # type: ignore[method-assign]
+        node.take = turn_away  # type: ignore[method-assign,assignment]
     assert share(fleet, 60.0) > 0.85
     # Passed over for 2.4 to 7.2 s, then for 4.8 to 14.4 s each time: some seven tries a relay and node, not 43 jobs'.
     assert tries <= 40 * len(bad) * (60.0 / 4.8 + 2.0)
