Share the clients' address with a second process of the relay by SO_REUSEPORT

Its log: OSError: [Errno 98] Address already in use (while attempting to bind on address ('127.8.0.1', 3000)), from transport/listener.py, socket.create_server without reuse_port. Ruled out: the configuration (it is the same file) and descriptors (232 of 384). Change: the listener binds with SO_REUSEPORT where the platform has it.

--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -18,7 +18,8 @@
                  failed: Callable[[str], None]) -> None:  # fmt: skip
         self.made, self.room, self.failed = made, room, failed
         self.loop = asyncio.get_running_loop()
-        self.sock = socket.create_server(address, backlog=backlog)
+        # A second process of the same relay, an upgrade, listens at the same address while this one still serves.
+        self.sock = socket.create_server(address, backlog=backlog, reuse_port=hasattr(socket, "SO_REUSEPORT"))
         self.sock.setblocking(False)
         self.later: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[object]] = set()
