Serve the operators' API: ready, telemetry, evacuate and rejoin over HTTP/1.1 on httptools

Change: operator/ serves one call per connection, 32 at most (the oldest is ended), 2 s for a whole call, 8 KiB of head, 4 KiB of body; bad input gets 400/404/405/413/414/431 and the connection closed. It decides nothing: program/operations.py maps calls to the hub. Evacuate posts the same Stop that SIGTERM posts, with exits=False: the reducer moves whoever stands over 2.5 s and goes on moving who comes after; Rejoin takes the stop back; PING says NO while the relay drains. telemetry/ counts Join, Requeue, Deny and Ask effects by class as the runtime carries them out. The address comes from 'operator' in the configuration or ROUTER_OPERATOR; without either there is no listener, as before. Tests: evacuate and rejoin over sockets, each kind of bad call, 100 callers that hold half a call beside a real one.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,10 +4,23 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
 
+import pytest
+
+from tests.stand_ins import WAIT_S, World, free_port, relay
 from yarrowspindle.transport.listener import Listener
 
 
+def run(tmp: Path, body: Callable[[World], Awaitable[None]]) -> None:
+    async def inside() -> None:
+        async with relay(tmp) as world:
+            await body(world)
+
+    asyncio.run(inside())
+
+
 def test_a_second_process_of_the_relay_can_listen_at_the_same_address() -> None:
     async def inside() -> None:
         with socket.socket() as probe:
@@ -20,3 +33,100 @@
         second.close()
 
     asyncio.run(inside())
+
+
+async def call(port: int, request: bytes) -> tuple[int, str]:
+    """One call of the operators' API: its status and body; (0, "") where the connection ends without an answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request)
+    answer = await asyncio.wait_for(reader.read(), WAIT_S)
+    writer.close()
+    if not answer:
+        return 0, ""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body.decode()
+
+
+def request(method: str, path: str) -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nhost: relay\r\n\r\n".encode()
+
+
+def test_evacuate_says_no_to_ping_moves_who_stands_and_rejoin_says_yes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    port = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+
+    async def body(w: World) -> None:
+        await w.logged("operators' API")
+        assert await call(port, request("GET", "/api/ready")) == (200, "ready\n")
+        submitter, _, _ = await w.standing()
+        for _ in range(2):  # twice is one evacuation
+            assert (await call(port, request("PUT", "/api/evacuate")))[0] == 200
+        assert (await call(port, request("GET", "/api/ready")))[0] == 503
+        ping = await w.submitter("PING")
+        assert await ping.hear() == "NO"
+        assert await submitter.hear() == "MOVE", "who stands is moved, not held"
+        assert w.process.returncode is None, "the process keeps running"
+        assert (await call(port, request("PUT", "/api/rejoin")))[0] == 200
+        assert await call(port, request("GET", "/api/ready")) == (200, "ready\n")
+        again = await w.submitter("PING")
+        assert await again.hear() == "PONG"
+        figures = dict(line.split("=") for line in (await call(port, request("GET", "/api/telemetry")))[1].split())
+        assert figures["success.chat"] == "1" and figures["hosts_listed"] == "2" and figures["backend_calls"] == "1"
+
+    run(tmp_path, body)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (request("GET", "/api/nothing"), 404),
+        (request("DELETE", "/api/ready"), 405),
+        (request("GET", "/api/evacuate"), 405),
+        (b"GET /api/ready HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc", 400),
+        (b"PUT /api/evacuate HTTP/1.1\r\ncontent-length: 99999\r\n\r\n", 413),
+        (b"GET /api/ready HTTP/1.1\r\nx: " + b"y" * 9000 + b"\r\n\r\n", 431),
+        (b"what is this\r\n\r\n", 400),
+        (b"GET /api/ready HTTP/1.1\r\nhost", 400),  # cut off: the end of sending says it is whole
+    ],
+)
+def test_bad_calls_get_a_plain_4xx_and_the_connection_closed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int
+) -> None:
+    port = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+
+    async def body(w: World) -> None:
+        await w.logged("operators' API")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent)
+        if sent.endswith(b"host"):
+            writer.write_eof()
+        answer = await asyncio.wait_for(reader.read(), WAIT_S)
+        assert int(answer.split()[1]) == status
+        assert (await call(port, request("GET", "/api/ready")))[0] == 200, "and the API goes on"
+
+    run(tmp_path, body)
+
+
+def test_callers_that_hold_connections_without_a_whole_call_do_not_slow_the_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    port = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+
+    async def body(w: World) -> None:
+        await w.logged("operators' API")
+        idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(100)]
+        for _, writer in idle:
+            writer.write(b"GET /api/re")
+        started = asyncio.get_running_loop().time()
+        assert (await call(port, request("GET", "/api/ready")))[0] == 200
+        assert asyncio.get_running_loop().time() - started < 1.0
+        ended = await asyncio.wait_for(idle[-1][0].read(), WAIT_S)  # ended on the deadline, unanswered
+        assert ended == b""
+        for _, writer in idle:
+            writer.close()
+
+    run(tmp_path, body)
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -120,6 +120,10 @@
     def _levelling(self, event: Levelling) -> None:
         self.level = event.level
 
+    def avoided(self, now: float) -> set[int]:
+        """The servers that are passed over as failing now: a figure for operators."""
+        return {s.id for s in self.servers.values() if now < s.bad_until}
+
     def drawn(self) -> tuple[list[int], float]:
         """The servers of the ordinary draw, and how many balancers draw each: own loads compare here."""
         ring = self.inner
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -56,6 +56,7 @@
     classes: list[str] = field(default_factory=list)
     tenants: list[str] = field(default_factory=list)
     sockets: int = 0  # the platform's limit on descriptors; 0: not told
+    operator: Address | None = None  # where the operators' API listens; None: nowhere
     written: str = ""  # discovery as the file has it, whatever the environment says
 
 
@@ -82,6 +83,7 @@
             classes=names_of(raw.get("categories")),
             tenants=names_of(raw.get("realms")),
             sockets=int((data.get("limits") or {}).get("sockets") or 0),
+            operator=parse_address(str(data["operator"])) if data.get("operator") else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError, ListError, SettingsError) as error:
         raise ConfigError(f"the configuration makes no sense: {error!r}") from error
@@ -179,13 +181,14 @@
     if not isinstance(data, dict):
         raise ConfigError(f"{path} holds no object")
     written = str(data.get("discovery") or "")
-    for key, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY")):
+    for key, variable in (("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY"),
+                          ("operator", "ROUTER_OPERATOR")):
         if environ.get(variable):
             data[key] = environ[variable]
     return replace(read_config(data), written=written)
 
 
-NEED_RESTART = frozenset(("name", "listen", "settings", "names", "classes", "tenants", "sockets"))
+NEED_RESTART = frozenset(("name", "listen", "settings", "names", "classes", "tenants", "sockets", "operator"))
 
 
 def reload_config(old: Config, environ: Mapping[str, str] = os.environ) -> tuple[Config, list[str]]:
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -8,10 +8,13 @@
 
 from yarrowspindle.program.config import Config, ConfigError, Operator, load_operator, reload_config
 from yarrowspindle.program.metrics import Metrics
-from yarrowspindle.routing.messages import Rebalance, Reloaded, Stop, Watch
+from yarrowspindle.routing.messages import Effect, Rebalance, Rejoin, Reloaded, Stop, Watch
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.runtime import Clock, Runtime, Timers
 from yarrowspindle.runtime.list_watch import ListWatch
+from yarrowspindle.telemetry import Telemetry
+
+EVACUATE_MS = 2500.0  # all standing connections are moved within this time after an evacuation
 
 
 def log(level: str, text: str) -> None:
@@ -29,7 +32,10 @@
         self.metrics = Metrics(self.reducer)
         self.metrics.sources["runtime"] = self.runtime.counts
         self.runtime.seen.append(lambda now, event: self.metrics.event(event))
-        self.runtime.effect = self.metrics.effect
+        self.telemetry = Telemetry(reducer, self.class_name)
+        self.runtime.seen.append(lambda now, event: self.telemetry.event(event))
+        self.runtime.effect = self._effect
+        self.serving = False  # set once the fronts take connections, and unset when they no longer do
         self.watch = ListWatch(
             config.names, self.post, lambda why: logger.warning("the watch on the machine list is over: {}", why))
         self.runtime.watch = self._watch
@@ -39,13 +45,39 @@
         self.post(self.config.known)
         self._rebalance()
 
+    def _effect(self, effect: Effect) -> None:
+        self.metrics.effect(effect)
+        self.telemetry.effect(effect)
+
+    def class_name(self, cls: int) -> str:
+        classes = self.config.classes
+        return classes[cls] if 0 <= cls < len(classes) else str(cls)
+
+    # --- what operators ask and tell --------------------------------------------------------------
+
+    def ready(self) -> bool:
+        """Whether this process takes new connections: it serves, and neither drains nor stops."""
+        return self.serving and not self.reducer.draining
+
+    def evacuate(self) -> None:
+        """Empties the relay by the same way as SIGTERM, and outlives it; once is enough."""
+        if not self.reducer.draining:
+            logger.info("evacuating: {} jobs are here; standing connections are moved", len(self.reducer.jobs))
+            self.post(Stop(EVACUATE_MS, exits=False))
+
+    def rejoin(self) -> None:
+        """Back to work after an evacuation; harmless without one, and no help after SIGTERM."""
+        if self.reducer.draining and not self.reducer.exits:
+            logger.info("rejoining: new connections are taken again")
+            self.post(Rejoin())
+
     def _rebalance(self) -> None:
         if self.operator.rebalance is not None or self.reducer.rebalance is not None:
             self.post(Rebalance(self.operator.rebalance, self.config.seed))
             self.metrics.rebalance(self.reducer.rebalance)
 
     def stop(self, within_ms: float) -> None:
-        self.post(Stop(within_ms))
+        self.post(Stop(within_ms))  # also after an evacuation: this one ends with the process
 
     def reload(self) -> None:
         """Reads the configuration's file again. One that makes no sense changes nothing."""
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -72,6 +72,9 @@
 
     # --- reports of submitters ------------------------------------------------------------------
 
+    def ready(self) -> bool:
+        return self.hub.ready()
+
     def submitter_came(self, side: Submitter) -> None:
         self.door.came(side)
 
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -28,6 +28,14 @@
     hub.start()
     descriptors = descriptors_left(config.sockets) - (operator.quic.max_connections if operator.quic else 0)
     server = LineFront(hub, descriptors).start()
+    api = None
+    if config.operator is not None:
+        from yarrowspindle.operator import OperatorApi
+        from yarrowspindle.program.operations import routes
+
+        api = OperatorApi(routes(hub), lambda text: logger.error("an operator's call failed: {}", text))
+        await api.start(*config.operator)
+        logger.info("the operators' API is at {}:{}", *config.operator)
     if operator.quic is not None:
         from yarrowspindle.program.quic_front import QuicFront  # needs packages that the platform does without
 
@@ -38,6 +46,7 @@
     reports = []
     if operator.metrics is not None:
         reports.append(loop.create_task(report(hub.metrics, operator.metrics, config.name)))
+    hub.serving = True
     gc.collect()
     gc.freeze()  # what is here now stays; collecting it again would only make jobs late
     gc.set_threshold(20_000, 50, 100)
@@ -49,6 +58,8 @@
     await asyncio.sleep(STOP_FLUSH_S)
     for task in reports:
         task.cancel()
+    if api is not None:
+        api.close()
     logger.info("stopped: {} jobs are left", len(hub.reducer.jobs))
 
 
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -92,8 +92,8 @@
         self.rest = b""
         self.probes = 0
 
-    def feed(self, data: bytes) -> tuple[bytes, Open | None]:
-        """What to answer to probes, and the OPEN line once it is there."""
+    def feed(self, data: bytes, ready: bool = True) -> tuple[bytes, Open | None]:
+        """What to answer to probes, and the OPEN line once it is there; a relay that is not ready says NO to PING."""
         data, self.rest, at, answers = self.rest + data, b"", 0, b""
         while (end := data.find(b"\n", at, at + LONGEST)) >= 0:
             line, at = data[at : end + 1], end + 1
@@ -107,7 +107,7 @@
             self.probes += 1
             if self.probes > PROBES_MOST:
                 raise LineError("too many probes")
-            answers += PROBES[line]
+            answers += PROBES[line] if ready or line != b"PING" else NO
         if len(data) - at >= LONGEST:
             raise LineError("a first line that is too long")
         self.rest = data[at:]
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -123,9 +123,15 @@
 
 @dataclass(slots=True)
 class Stop:
-    """A planned restart: all clients are to be moved within this time."""
+    """A planned restart or a drain: all clients are to be moved within this time; a drain is outlived."""
 
     within_ms: float
+    exits: bool = True
+
+
+@dataclass(slots=True)
+class Rejoin:
+    """Back to work after a drain: nobody is moved for it any more."""
 
 
 @dataclass(slots=True)
@@ -151,7 +157,7 @@
 
 
 Event = (JobArrived | SubmitterLeft | OutOfTurn | NodeReached | NodeUp | AttemptOver | LoadTold | FigureTold
-         | Asked | Answered | ListTold | Woke | Stop | Reloaded | Rebalance | Stalled)
+         | Asked | Answered | ListTold | Woke | Stop | Rejoin | Reloaded | Rebalance | Stalled)
 
 
 # --- effects ------------------------------------------------------------------------------------
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -40,6 +40,7 @@
     OutOfTurn,
     Reach,
     Rebalance,
+    Rejoin,
     Reloaded,
     Requeue,
     Stalled,
@@ -89,6 +90,7 @@
         self.version = 0
         self.stalled_at = 0.0  # until when this process stood still of late
         self.stop_at = 0.0  # when all must be over; 0: no stop
+        self.exits = True  # whether the process ends after the stop, or outlives it (a drain)
         self.rebalance: Rebalancer | None = None
         self.level = 0.0  # as the module was told
         self.effects: list[Effect] = [Wake(PULSE_MS, PULSE)]
@@ -97,7 +99,7 @@
             NodeReached: self._reached, NodeUp: self._up, Reloaded: self._reloaded,
             AttemptOver: self._over, LoadTold: self._load, FigureTold: self._figure,
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
-            Rebalance: self._configure, Stalled: self._stalled,
+            Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
         }  # fmt: skip
 
     def step(self, now: float, event: Event) -> list[Effect]:
@@ -511,11 +513,22 @@
 
     def _stop(self, event: Stop) -> None:
         """Move every client, spread over the time there is; what comes meanwhile is served and moved as well."""
-        self.stop_at = self.now + event.within_ms
+        self.stop_at, self.exits = self.now + event.within_ms, event.exits
         if self.rebalance is not None:
             self.rebalance.stop()
         self.effects.append(Wake(min(STOP_QUIET_MS, event.within_ms / 2.0), STOPPING))
 
+    def _rejoin(self, event: Rejoin) -> None:
+        if self.stop_at:
+            self.stop_at = 0.0
+            self.effects.append(Unwake(STOPPING))
+            if self.rebalance is not None:
+                self.rebalance.stopped = False
+
+    @property
+    def draining(self) -> bool:
+        return self.stop_at > 0.0
+
     def _move_all(self) -> None:
         left = self.stop_at - self.now
         standing = [j for j in self.jobs.values() if j.phase is Phase.OPEN]
@@ -523,8 +536,10 @@
             for job in list(self.jobs.values()):
                 if job.phase is Phase.OPEN:
                     self._move(job)
-                else:
+                elif self.exits:
                     self._deadline(job)
+            # A drain that the process outlives: whoever still comes is served and moved in its turn.
+            self.effects.append(Wake(STOP_BEAT_MS, STOPPING))
             return
         # As many now as leave the rest for the beats that remain.
         beats = max(1.0, left / STOP_BEAT_MS - 1.0)
--- /dev/null
+++ b/yarrowspindle/telemetry/counts.py
@@ -0,0 +1,76 @@
+"""The operators' figures, fed by the events that the reducer is told and the effects that it asks for.
+
+Each connection that is taken is counted once in `taken` and, once it has its final answer, once in one of `success`
+(brought up: `Join`), `busy` (`Requeue`) or `failure` (`Deny`); one that its submitter leaves first is `abandoned`.
+So for each class, at every moment: taken = success + busy + failure + abandoned + waiting. The counts start with the
+process; a class that vanishes from the settings keeps its counts.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from yarrowspindle.interface import State
+from yarrowspindle.routing.messages import Ask, Deny, Effect, Event, JobArrived, Join, Requeue, SubmitterLeft
+from yarrowspindle.routing.reducer import Reducer
+
+OUTCOMES = {Join: "success", Requeue: "busy", Deny: "failure"}
+FIGURES = ("success", "busy", "failure")
+
+
+class Telemetry:
+    def __init__(self, reducer: Reducer, class_name: Callable[[int], str]) -> None:
+        self.reducer, self.class_name = reducer, class_name
+        self.counts: Counter[str] = Counter()  # name.class or name
+        self.waiting: dict[int, int] = {}  # job -> class, taken and not answered yet; bounded by the reducer's jobs
+        self.classes: dict[int, str] = {}  # every class that was ever seen, under the name it had
+
+    def event(self, event: Event) -> None:
+        if isinstance(event, JobArrived):
+            self.waiting[event.job] = event.cls
+            self._count("taken", event.cls)
+        elif isinstance(event, SubmitterLeft):
+            cls = self.waiting.pop(event.job, None)
+            if cls is not None:
+                self._count("abandoned", cls)
+
+    def effect(self, effect: Effect) -> None:
+        kind = type(effect)
+        if kind is Ask:
+            self.counts["backend_calls"] += 1
+            return
+        figure = OUTCOMES.get(kind)
+        if figure is not None:
+            cls = self.waiting.pop(effect.job, None)  # type: ignore[union-attr]  # all three are of a job
+            if cls is not None:
+                self._count(figure, cls)
+
+    def reloaded(self, taken: bool) -> None:
+        self.counts["reconfig_ok" if taken else "reconfig_failed"] += 1
+
+    def _count(self, figure: str, cls: int) -> None:
+        name = self.classes.setdefault(cls, self.class_name(cls))
+        self.counts[f"{figure}.{name}"] += 1
+
+    def figures(self) -> dict[str, int]:
+        """All figures as of now, in the operators' names."""
+        reducer = self.reducer
+        found: dict[str, int] = {}
+        for name in dict.fromkeys(self.classes.values()):
+            for figure in FIGURES:
+                found[f"{figure}.{name}"] = self.counts[f"{figure}.{name}"]
+        listed = [node for node in reducer.nodes.values() if node.state is not State.GONE]
+        avoided = reducer.balancer.avoided(reducer.now)
+        found |= {
+            "backend_calls": self.counts["backend_calls"],
+            "inflight": len(reducer.jobs),
+            "hosts_listed": len(listed),
+            "hosts_down": sum(1 for node in listed if node.state is not State.READY or node.number in avoided),
+            "reconfig_ok": self.counts["reconfig_ok"],
+            "reconfig_failed": self.counts["reconfig_failed"],
+        }
+        return found
+
+    def text(self) -> str:
+        return "".join(f"{name}={value}\n" for name, value in self.figures().items())
--- a/yarrowspindle/transport/submitter.py
+++ b/yarrowspindle/transport/submitter.py
@@ -13,6 +13,7 @@
 
 
 class SubmitterSink(Protocol):
+    def ready(self) -> bool: ...
     def submitter_came(self, side: Submitter) -> None: ...
     def job_came(self, side: Submitter, opened: Open) -> None: ...
     def job_out_of_turn(self, job: int) -> None: ...
@@ -49,7 +50,7 @@
 
     def _open(self, data: bytes) -> None:
         try:
-            answers, opened = self.opening.feed(data)
+            answers, opened = self.opening.feed(data, self.sink.ready())
             if answers:
                 self.write(answers)
             if opened is not None:
