Take new settings at SIGHUP whole or not at all, classes numbered so that jobs keep theirs

Before, 'settings' waited for a restart (program/config.py NEED_RESTART), so a new class was refused with ERR; a deadline of 0 was read without complaint. Change: read_settings turns down classes without a deadline over 0 and attempts not over 0; the whole file is read and checked before anything changes; config.retune keeps each class's number and appends new or changed ones (256 at most), so jobs under way keep their class and its limits, and a vanished class takes no new connection. The reducer passes Retune on to the module as Retuned; reconfig_ok and reconfig_failed are counted with one log line each. Test: six broken files over sockets, then a file that swaps the class: counts, refusal, the old connection unchanged.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from tests.stand_ins import WAIT_S, World, free_port, relay
+from tests.stand_ins import SETTINGS, WAIT_S, World, free_port, relay
 from yarrowspindle.transport.listener import Listener
 
 
 def run(tmp: Path, body: Callable[[World], Awaitable[None]]) -> None:
     async def inside() -> None:
         async with relay(tmp) as world:
-            await body(world)
+            await asyncio.wait_for(body(world), 6 * WAIT_S)
 
     asyncio.run(inside())
 
@@ -130,3 +132,44 @@
             writer.close()
 
     run(tmp_path, body)
+
+
+def figures_of(text: str) -> dict[str, int]:
+    return {name: int(value) for name, value in (line.split("=") for line in text.split())}
+
+
+def test_settings_at_sighup_are_taken_whole_or_not_at_all(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    port = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+    chat = dict(SETTINGS["categories"][0])
+
+    async def body(w: World) -> None:
+        await w.logged("operators' API")
+        config = json.loads(w.file.read_text())
+        submitter, _, node = await w.standing()
+        broken = ["", json.dumps(config)[:-40], json.dumps(config | {"settings": {}})]
+        for changed in ({"deadline_ms": 0.0}, {"deadline_ms": -5.0}):
+            broken.append(json.dumps(config | {"settings": SETTINGS | {"categories": [chat | changed]}}))
+        fewer = SETTINGS["limits"] | {"max_attempts": 0}
+        broken.append(json.dumps(config | {"settings": SETTINGS | {"limits": fewer}}))
+        for text in broken:
+            w.file.write_text(text)  # as it is, also empty
+            w.process.send_signal(signal.SIGHUP)
+            await w.logged("turned down")
+        news = SETTINGS | {"categories": [chat | {"name": "video", "deadline_ms": 900.0}]}
+        w.reload(json.dumps(config | {"settings": news}))
+        await w.logged("new settings are taken")
+        figures = figures_of((await call(port, request("GET", "/api/telemetry")))[1])
+        assert figures["reconfig_failed"] == len(broken) and figures["reconfig_ok"] == 1
+        refused = await w.job()  # chat has vanished: no new connection of it is taken
+        assert await refused.hear() == "ERR"
+        video = await w.submitter("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=video,t=acme,d=800,g=5c0f")
+        _, other, _ = await w.placed()
+        other.say("UP r2")
+        assert await video.hear() == "UP r2"
+        node.say("still here")
+        assert await submitter.hear() == "still here", "a connection under way keeps its class"
+        figures = figures_of((await call(port, request("GET", "/api/telemetry")))[1])
+        assert figures["success.chat"] == 1 and figures["success.video"] == 1 and figures["failure.chat"] == 0
+
+    run(tmp_path, body)
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -253,8 +253,16 @@
     level: float
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings from here on. Classes keep their numbers: new ones are added at the end, and a class that vanished
+    or changed keeps its entry for the requests under way, which keep their class and its limits."""
+
+    settings: Settings
+
+
 Event = (ServerList | Request | Adopted | Established | AttemptEnded | LoadChanged | ServerSlow | TimerDue
-         | Probed | PeerMessage | ClientGone | Levelling)
+         | Probed | PeerMessage | ClientGone | Levelling | Retuned)
 
 
 # --- actions ------------------------------------------------------------------------------------
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -16,7 +16,7 @@
 from yarrowspindle.interface import (
     NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Effect, Established, Event, Fail, Group,
     Levelling, ListKind, LoadChanged, Move, Outcome, PeerMessage, Probed, Refuse, Request, Send, ServerList,
-    ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
+    Retuned, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
 )  # fmt: skip
 from yarrowspindle.ring import Ring
 
@@ -102,6 +102,7 @@
             LoadChanged: self._load_changed, ServerSlow: self._slow, TimerDue: self._timer,
             ServerList: self._list, Adopted: self._adopted, ClientGone: self._gone,
             Probed: self._ignored, PeerMessage: self._ignored, Levelling: self._levelling,
+            Retuned: self._retuned,
         }  # fmt: skip
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -117,6 +118,9 @@
     def _ignored(self, event: Event) -> None:
         """Probes and peer messages are never asked for; what comes unasked changes nothing."""
 
+    def _retuned(self, event: Retuned) -> None:
+        self.settings = event.settings
+
     def _levelling(self, event: Levelling) -> None:
         self.level = event.level
 
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -53,7 +53,8 @@
     settings: Settings
     known: ListTold
     names: Names = field(default_factory=Names)
-    classes: list[str] = field(default_factory=list)
+    classes: list[str] = field(default_factory=list)  # the name of each class by its number, over all reloads
+    current: dict[str, int] = field(default_factory=dict)  # the number of each class that takes connections now
     tenants: list[str] = field(default_factory=list)
     sockets: int = 0  # the platform's limit on descriptors; 0: not told
     operator: Address | None = None  # where the operators' API listens; None: nowhere
@@ -81,6 +82,7 @@
             known=parse_list(known, names, ListKind.CACHED),
             names=names,
             classes=names_of(raw.get("categories")),
+            current={name: number for number, name in enumerate(names_of(raw.get("categories")))},
             tenants=names_of(raw.get("realms")),
             sockets=int((data.get("limits") or {}).get("sockets") or 0),
             operator=parse_address(str(data["operator"])) if data.get("operator") else None,
@@ -188,7 +190,23 @@
     return replace(read_config(data), written=written)
 
 
-NEED_RESTART = frozenset(("name", "listen", "settings", "names", "classes", "tenants", "sockets", "operator"))
+NEED_RESTART = frozenset(("name", "listen", "names", "tenants", "sockets", "operator"))
+CLASSES_MOST = 256  # entries of classes over all reloads: each new or changed class adds one
+
+
+def retune(old: Config, new: Config) -> Config:
+    """The old configuration with the new settings, its classes numbered so that those under way keep theirs."""
+    names, entries, current = list(old.classes), list(old.settings.classes), {}
+    for name, entry in zip(new.classes, new.settings.classes, strict=True):
+        known = [n for n, (was, kept) in enumerate(zip(names, entries, strict=True)) if was == name and kept == entry]
+        if not known:
+            names.append(name)
+            entries.append(entry)
+        current[name] = known[-1] if known else len(entries) - 1
+    if len(entries) > CLASSES_MOST:
+        raise ConfigError(f"more than {CLASSES_MOST} classes over all reloads: a restart starts them anew")
+    settings = replace(new.settings, classes=tuple(entries))
+    return replace(old, settings=settings, classes=names, current=current)
 
 
 def reload_config(old: Config, environ: Mapping[str, str] = os.environ) -> tuple[Config, list[str]]:
@@ -202,4 +220,4 @@
     except ListError as error:
         raise ConfigError(f"the configuration makes no sense: {error!r}") from error
     waiting = [f.name for f in fields(new) if f.name in NEED_RESTART and getattr(new, f.name) != getattr(old, f.name)]
-    return replace(old, discovery=moved, written=new.written), waiting
+    return replace(retune(old, new), discovery=moved, written=new.written), waiting
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -8,7 +8,7 @@
 
 from yarrowspindle.program.config import Config, ConfigError, Operator, load_operator, reload_config
 from yarrowspindle.program.metrics import Metrics
-from yarrowspindle.routing.messages import Effect, Rebalance, Rejoin, Reloaded, Stop, Watch
+from yarrowspindle.routing.messages import Effect, Rebalance, Rejoin, Reloaded, Retune, Stop, Watch
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.runtime import Clock, Runtime, Timers
 from yarrowspindle.runtime.list_watch import ListWatch
@@ -83,10 +83,16 @@
         """Reads the configuration's file again. One that makes no sense changes nothing."""
         try:
             operator = load_operator()
-            self.config, waiting = reload_config(self.config)
+            config, waiting = reload_config(self.config)
         except ConfigError as error:
-            logger.error("the old configuration stays: {}", error)
+            self.telemetry.reloaded(False)
+            logger.error("the configuration was turned down, the old one stays whole: {}", error)
             return
+        retuned, self.config = config.settings != self.config.settings, config
+        self.telemetry.reloaded(True)
+        if retuned:
+            logger.info("new settings are taken: classes {}", ", ".join(sorted(config.current)))
+            self.post(Retune(config.settings))
         if waiting:
             logger.warning("changes of {} need a restart", ", ".join(waiting))
         logger.info("the configuration was read again; the machine list is at {}:{}", *self.config.discovery)
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -81,9 +81,9 @@
     def job_came(self, side: Submitter, opened: Open) -> None:
         config = self.config
         try:
-            cls = config.classes.index(opened.get("c"))
+            cls = self.hub.config.current[opened.get("c")]
             tenant = config.tenants.index(opened.get("t")) if config.tenants else 0
-        except ValueError:
+        except (KeyError, ValueError):
             raise LineError("a class or tenant that the settings do not name") from None
         arrived = JobArrived(
             0, opened.number("d"), cls, tenant, opened.key, opened.number("h"), opened.hexadecimal("g"),
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from yarrowspindle.interface import ListKind, State
+from yarrowspindle.interface import ListKind, Settings, State
 from yarrowspindle.routing.ending import Ending
 
 if TYPE_CHECKING:  # the platform does without the package
@@ -129,6 +129,13 @@
     exits: bool = True
 
 
+@dataclass(slots=True)
+class Retune:
+    """New settings; their classes keep the numbers of those under way (`program.config.retune`)."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class Rejoin:
     """Back to work after a drain: nobody is moved for it any more."""
@@ -157,7 +164,7 @@
 
 
 Event = (JobArrived | SubmitterLeft | OutOfTurn | NodeReached | NodeUp | AttemptOver | LoadTold | FigureTold
-         | Asked | Answered | ListTold | Woke | Stop | Rejoin | Reloaded | Rebalance | Stalled)
+         | Asked | Answered | ListTold | Woke | Stop | Rejoin | Retune | Reloaded | Rebalance | Stalled)
 
 
 # --- effects ------------------------------------------------------------------------------------
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -43,6 +43,7 @@
     Rejoin,
     Reloaded,
     Requeue,
+    Retune,
     Stalled,
     Stop,
     SubmitterLeft,
@@ -100,6 +101,7 @@
             AttemptOver: self._over, LoadTold: self._load, FigureTold: self._figure,
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
             Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
+            Retune: self._retune,
         }  # fmt: skip
 
     def step(self, now: float, event: Event) -> list[Effect]:
@@ -416,6 +418,11 @@
         if node.state is State.GONE and not node.jobs and self.nodes.get(node.name) is node:
             del self.nodes[node.name], self.numbers[node.number]
 
+    def _retune(self, event: Retune) -> None:
+        """New jobs are judged by the new settings; those under way keep their class, whose entry stays."""
+        self.settings = event.settings
+        self._tell(module.Retuned(event.settings))
+
     def _reloaded(self, event: Reloaded) -> None:
         if event.list_at != self.list_at:
             self.list_at = event.list_at
--- a/yarrowspindle/settings.py
+++ b/yarrowspindle/settings.py
@@ -85,6 +85,8 @@
         )
         for i in range(p.whole("categories.count"))
     )
+    if not classes or any(c.deadline_ms <= 0.0 or not math.isfinite(c.deadline_ms) for c in classes):
+        raise SettingsError("each class needs a deadline over 0, and there is at least one class")
     quota = p.numbers("family_info.tenant_quota_connections")
     tenants = tuple(
         Tenant(
@@ -94,6 +96,8 @@
         )
         for i in range(p.whole("realms.count", 0))
     )
+    if p.whole("limits.max_attempts") <= 0:
+        raise SettingsError("limits.max_attempts is not over 0")
     return Settings(
         classes=classes,
         zone=p.whole("zone", 0),
