--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,8 @@
 def run(tmp: Path, body: Callable[[World], Awaitable[None]]) -> None:
     async def inside() -> None:
         async with relay(tmp) as world:
+            if os.environ.get("ROUTER_OPERATOR"):
+                await world.logged("operators' API")
             await asyncio.wait_for(body(world), 6 * WAIT_S)
 
     asyncio.run(inside())
@@ -49,18 +52,21 @@
     return int(head.split()[1]), body.decode()
 
 
+@pytest.fixture
+def port(monkeypatch: pytest.MonkeyPatch) -> int:
+    """Where the relay's operators' API is to listen."""
+    found = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{found}")
+    return found
+
+
 def request(method: str, path: str) -> bytes:
     return f"{method} {path} HTTP/1.1\r\nhost: relay\r\n\r\n".encode()
 
 
-def test_evacuate_says_no_to_ping_moves_who_stands_and_rejoin_says_yes(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    port = free_port()
-    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+def test_evacuate_says_no_to_ping_moves_who_stands_and_rejoin_says_yes(tmp_path: Path, port: int) -> None:
 
     async def body(w: World) -> None:
-        await w.logged("operators' API")
         assert await call(port, request("GET", "/api/ready")) == (200, "ready\n")
         submitter, _, _ = await w.standing()
         for _ in range(2):  # twice is one evacuation
@@ -94,13 +100,10 @@
     ],
 )
 def test_bad_calls_get_a_plain_4xx_and_the_connection_closed(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int
+    tmp_path: Path, port: int, sent: bytes, status: int
 ) -> None:
-    port = free_port()
-    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
 
     async def body(w: World) -> None:
-        await w.logged("operators' API")
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(sent)
         if sent.endswith(b"host"):
@@ -112,14 +115,9 @@
     run(tmp_path, body)
 
 
-def test_callers_that_hold_connections_without_a_whole_call_do_not_slow_the_others(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    port = free_port()
-    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+def test_callers_that_hold_connections_without_a_whole_call_do_not_slow_the_others(tmp_path: Path, port: int) -> None:
 
     async def body(w: World) -> None:
-        await w.logged("operators' API")
         idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(100)]
         for _, writer in idle:
             writer.write(b"GET /api/re")
@@ -138,13 +136,10 @@
     return {name: int(value) for name, value in (line.split("=") for line in text.split())}
 
 
-def test_settings_at_sighup_are_taken_whole_or_not_at_all(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    port = free_port()
-    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{port}")
+def test_settings_at_sighup_are_taken_whole_or_not_at_all(tmp_path: Path, port: int) -> None:
     chat = dict(SETTINGS["categories"][0])
 
     async def body(w: World) -> None:
-        await w.logged("operators' API")
         config = json.loads(w.file.read_text())
         submitter, _, node = await w.standing()
         broken = ["", json.dumps(config)[:-40], json.dumps(config | {"settings": {}})]
