--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -99,7 +99,8 @@
         self.list = Server()
         self.port = 0
         self.process: asyncio.subprocess.Process
-        self.file = Path()
+        self.file = self.tmp = Path()
+        self.env: dict[str, str] = {}
         self.log: asyncio.Queue[str] = asyncio.Queue()
         self.version = 1
         self.ids = itertools.count(0x9B1F03AA5C7E2D41)  # new with each connection
@@ -175,6 +176,49 @@
         return int(sock.getsockname()[1])
 
 
+async def start(env: dict[str, str], said: list[str], log: asyncio.Queue[str],
+                sockets: int = 0) -> tuple[asyncio.subprocess.Process, asyncio.Future[None]]:  # fmt: skip
+    """A process of the relay, and who reads what it logs."""
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limit if sockets else None)  # fmt: skip
+
+    async def read() -> None:
+        assert process.stderr is not None
+        while line := (await process.stderr.readline()).decode():
+            said.append(line)
+            log.put_nowait(line)
+        log.put_nowait("serves at: no, it has ended")
+
+    return process, asyncio.ensure_future(read())
+
+
+@asynccontextmanager
+async def upgraded(world: World) -> AsyncIterator[asyncio.Queue[str]]:
+    """A second process of the same relay beside the first, as the platform starts it, once it serves; its log."""
+    said: list[str] = []
+    log: asyncio.Queue[str] = asyncio.Queue()
+    process, reading = await start(world.env, said, log)
+    try:
+        while "serves at" not in (line := await asyncio.wait_for(log.get(), WAIT_S)):
+            pass
+        assert "no, it has ended" not in line, said
+        for line in said:
+            log.put_nowait(line)
+        yield log
+        assert process.returncode is None, "only the old process may end"
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await reading
+        assert "Traceback" not in "".join(said), "".join(said)
+
+
 @asynccontextmanager
 async def relay(tmp: Path, operator: str = "", sockets: int = 0, **changes: Any) -> AsyncIterator[World]:
     """The real program, serving; it is told of both nodes in its cached list."""
@@ -189,25 +233,12 @@
     world.file = tmp / "config.json"
     world.file.write_text(json.dumps(config))
     (tmp / "operator.toml").write_text(operator)
-    told = {"ROUTER_CONFIG": str(tmp / "config.json"), "YARROWSPINDLE_OPERATOR": str(tmp / "operator.toml")}
-    env = os.environ | told
-
-    def limit() -> None:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
-
-    world.process = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
-        preexec_fn=limit if sockets else None)  # fmt: skip
+    (tmp / "tmpdir").mkdir(exist_ok=True)
+    told = {"ROUTER_CONFIG": str(tmp / "config.json"), "YARROWSPINDLE_OPERATOR": str(tmp / "operator.toml"),
+            "TMPDIR": str(tmp / "tmpdir")}  # fmt: skip
+    world.tmp, world.env = tmp / "tmpdir", os.environ | told
     said: list[str] = []
-
-    async def read() -> None:
-        assert world.process.stderr is not None
-        while line := (await world.process.stderr.readline()).decode():
-            said.append(line)
-            world.log.put_nowait(line)
-        world.log.put_nowait("serves at: no, it has ended")
-
-    reading = asyncio.ensure_future(read())
+    world.process, reading = await start(world.env, said, world.log, sockets)
     assert "no, it has ended" not in await world.logged("serves at")
     try:
         yield world
--- a/yarrowspindle/books.py
+++ b/yarrowspindle/books.py
@@ -12,7 +12,7 @@
 
     __slots__ = ("id", "zone", "cell", "capacity", "started", "ready", "open", "load", "strikes", "bad_until",
                  "slow_until", "message_ms", "broke_at", "broke", "groups", "classes", "used", "holds", "asked_at",
-                 "since")  # fmt: skip
+                 "since", "beside")  # fmt: skip
 
     def __init__(self, server: int) -> None:
         self.id = server
@@ -26,6 +26,7 @@
         self.groups: dict[int, int] = {}  # own connections of each group, and of each class
         self.classes: dict[int, int] = {}
         self.used, self.holds = -1.0, 0.0  # as its last load report told (below 0: none did): load over capacity
+        self.beside = 0.0  # load that another process of this balancer still holds there
         self.asked_at = -inf  # when it was last probed
         self.since: list[tuple[float, float]] = []  # what was placed there (or ended) since that report: when, by what
 
@@ -74,6 +75,10 @@
     def count(self, now: float) -> None:
         self.sum, self.seen = 1.0 + self.get(now) * self.over_ms, now
 
+    def at_least(self, rate: float, now: float) -> None:
+        if rate > self.get(now):
+            self.sum, self.seen = rate * self.over_ms, now
+
     def get(self, now: float) -> float:
         return self.sum * exp((self.seen - now) / self.over_ms) / self.over_ms
 
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -270,8 +270,20 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Beside:
+    """Another process of this balancer, which ends soon, still holds load at these servers and passes these over.
+
+    held: server -> connections, load; avoided: server -> milliseconds; ended: connections that end well, each
+    millisecond."""
+
+    held: dict[int, tuple[int, float]]
+    avoided: dict[int, float]
+    ended: float = 0.0
+
+
 Event = (ServerList | Request | Adopted | Established | AttemptEnded | LoadChanged | ServerSlow | TimerDue
-         | Probed | PeerMessage | ClientGone | Levelling | Retuned)
+         | Probed | PeerMessage | ClientGone | Levelling | Retuned | Beside)
 
 
 # --- actions ------------------------------------------------------------------------------------
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -15,8 +15,8 @@
 
 from yarrowspindle.books import Job, Loads, Rate, Server, Trouble
 from yarrowspindle.interface import (
-    NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Effect, Established, Event, Fail, Group,
-    Levelling, ListKind, LoadChanged, Move, Outcome, PeerMessage, Probe, Probed, Refuse, Request, Send,
+    NEVER_RAN, Action, Adopted, AttemptEnded, Beside, Cancel, ClientGone, Effect, Established, Event, Fail,
+    Group, Levelling, ListKind, LoadChanged, Move, Outcome, PeerMessage, Probe, Probed, Refuse, Request, Send,
     ServerList, Retuned, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
 )  # fmt: skip
 from yarrowspindle.reports import SICK, Estimates
@@ -77,7 +77,7 @@
             LoadChanged: self._load_changed, ServerSlow: self._slow, TimerDue: self._timer,
             ServerList: self._list, Adopted: self._adopted, ClientGone: self._gone,
             Probed: self._probed, PeerMessage: lambda event: None, Levelling: self._levelling,
-            Retuned: self._retuned,
+            Retuned: self._retuned, Beside: self._beside,
         }  # fmt: skip
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -98,9 +98,16 @@
     def _levelling(self, event: Levelling) -> None:
         self.level = event.level
 
-    def avoided(self, now: float) -> set[int]:
-        """The servers that are passed over as failing now: a figure for operators."""
-        return {s.id for s in self.servers.values() if now < s.bad_until or s.used >= SICK}
+    def avoided(self, now: float) -> dict[int, float]:
+        """The servers that are passed over as failing, and for how long: for operators and for upgrades."""
+        return {i: max(s.bad_until - now, 0.0) for i, s in self.servers.items()
+                if now < s.bad_until or s.used >= SICK}  # fmt: skip
+
+    def _beside(self, event: Beside) -> None:
+        for server in self.servers.values():
+            server.beside = event.held.get(server.id, (0, 0.0))[1]
+            server.bad_until = max(server.bad_until, self.now + event.avoided.get(server.id, -inf))
+        self.ended.at_least(event.ended, self.now)
 
     def drawn(self) -> tuple[list[int], float]:
         """The servers of the ordinary draw, and how many balancers draw each: own loads compare here."""
@@ -225,7 +232,7 @@
         bad = 2 if self.now < server.bad_until else 1 if self.now < server.slow_until else 0
         dear = self.blind and self.inner is not self.everywhere and server.zone != self.settings.zone
         away = AWAY / self.settings.balancers if dear else 0.0
-        return bad, (server.load + self.loads.mean) / server.capacity + away
+        return bad, (server.load + server.beside + self.loads.mean) / server.capacity + away
 
     # --- where servers tell their load when they are probed -------------------------------------
 
@@ -375,7 +382,7 @@
             left = 0.0 if cls.effect is Effect.UNSAFE else min(left, job.ran_at + cls.window_ms - self.now)
         if job.attempts < self.settings.max_attempts and left > self.settings.tick_ms:
             self.held[job.id] = job
-            self._later(min(left, delay), lambda: self._look_again(job))
+            self._later(min(left, delay), lambda: self._place(job) if self.held.pop(job.id, None) else None)
         else:
             self._answer(job)
 
@@ -402,10 +409,6 @@
         aim = self.settings.classes[job.cls].message_aim_ms
         return self.now < server.slow_until and 0.0 < aim < server.message_ms  # 0: the class states no aim
 
-    def _look_again(self, job: Job) -> None:
-        if self.held.pop(job.id, None) is not None:
-            self._place(job)
-
     def _answer(self, job: Job) -> None:
         """The final answer of a request that is not served."""
         cls = self.settings.classes[job.cls]
@@ -541,6 +544,4 @@
         self.out.append(SetTimer(max(delay, 0.0), self.tokens))
 
     def _timer(self, event: TimerDue) -> None:
-        then = self.timers.pop(event.token, None)
-        if then is not None:
-            then()
+        self.timers.pop(event.token, lambda: None)()
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -4,14 +4,30 @@
 
 import time
 from dataclasses import replace
+from typing import Any
 
 from loguru import logger
 
+from yarrowspindle.interface import ListKind, State
 from yarrowspindle.program.config import Config, ConfigError, Operator, load_operator, reload_config
+from yarrowspindle.program.handover import HandoverError, beside_of
 from yarrowspindle.program.log import Bounded
 from yarrowspindle.program.metrics import Metrics
-from yarrowspindle.routing.messages import Effect, Rebalance, Rejoin, Reloaded, Retune, Stop, Watch
-from yarrowspindle.routing.reducer import Reducer
+from yarrowspindle.protocol.machines import ListError, list_data, parse_list
+from yarrowspindle.routing.messages import (
+    Beside,
+    Effect,
+    Event,
+    ListTold,
+    Machine,
+    Rebalance,
+    Rejoin,
+    Reloaded,
+    Retune,
+    Stop,
+    Watch,
+)
+from yarrowspindle.routing.reducer import Reducer, node_number
 from yarrowspindle.runtime import Clock, Runtime, Timers
 from yarrowspindle.runtime.list_watch import ListWatch
 from yarrowspindle.runtime.prober import Prober
@@ -38,6 +54,8 @@
         self.runtime.seen.append(lambda now, event: self.metrics.event(event))
         self.telemetry = Telemetry(reducer, self.class_name)
         self.runtime.seen.append(lambda now, event: self.telemetry.event(event))
+        self.machines: dict[str, Machine] = {}  # the list as last told
+        self.runtime.seen.append(lambda now, event: self._listed(event))
         self.runtime.effect = self._effect
         self.serving = False  # set once the fronts take connections, and unset when they no longer do
         self.watch = ListWatch(
@@ -49,11 +67,46 @@
         self.metrics.sources["probes"] = self.prober.counts
         self.runtime.probe = self.prober.probe
 
-    def start(self) -> None:
+    def start(self, inherited: dict[str, Any] | None = None) -> None:
+        """`inherited`: the state of the process beside which this one was started, see `program/handover.py`."""
         self.runtime.start()
-        self.post(self.config.known)
+        known, beside = self.config.known, None
+        if inherited is not None:
+            try:
+                beside = beside_of(inherited)
+                if inherited.get("list") is not None:
+                    newer = parse_list(inherited["list"], self.config.names, ListKind.CACHED)
+                    known = max(newer, known, key=lambda told: told.version)
+            except (HandoverError, ListError) as error:
+                logger.warning("the hand-over is ignored: {}", error)
+                beside = None
+        self.post(known)
+        if beside is not None:
+            logger.info("this process takes over: list {}, {} connections stand beside it", known.version,
+                        sum(count for count, _ in beside.held.values()))  # fmt: skip
+            self.post(beside)
+            # What the old process is told counts as told to both: no waiting for a moment drawn by chance.
+            self.watch.ask(known.version, self.config.discovery)
         self._rebalance()
 
+    def handed(self) -> tuple[Beside, dict[str, Any]]:
+        """What a process that is started beside this one must know."""
+        servers = self.reducer.balancer.servers
+        machines = [replace(m, capacity=servers[number].capacity) if (number := node_number(m.name)) in servers else m
+                    for m in self.machines.values()]  # fmt: skip
+        listed = list_data(ListTold(ListKind.FULL, machines, self.reducer.version), self.config.names)
+        return self.reducer.beside(), listed
+
+    def _listed(self, event: Event) -> None:
+        if isinstance(event, ListTold) and event.kind is not ListKind.FAILED:
+            if event.kind is not ListKind.DELTA:
+                self.machines.clear()
+            for machine in event.machines:
+                if machine.state is State.GONE:
+                    self.machines.pop(machine.name, None)
+                else:
+                    self.machines[machine.name] = machine
+
     def _effect(self, effect: Effect) -> None:
         self.metrics.effect(effect)
         self.telemetry.effect(effect)
@@ -85,8 +138,8 @@
             self.post(Rebalance(self.operator.rebalance, self.config.seed))
             self.metrics.rebalance(self.reducer.rebalance)
 
-    def stop(self, within_ms: float) -> None:
-        self.post(Stop(within_ms))  # also after an evacuation: this one ends with the process
+    def stop(self, within_ms: float, succeeded: bool = False) -> None:
+        self.post(Stop(within_ms, succeeded=succeeded))  # also after an evacuation: this one ends with the process
 
     def reload(self) -> None:
         """Reads the configuration's file again. One that makes no sense changes nothing."""
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 
 import uvloop
@@ -11,6 +12,7 @@
 
 from yarrowspindle.program.config import Config, ConfigError, Operator, load_config, load_operator
 from yarrowspindle.program.door import descriptors_left
+from yarrowspindle.program.handover import Handover
 from yarrowspindle.program.hub import Hub
 from yarrowspindle.program.line_front import LineFront
 from yarrowspindle.program.log import log_to
@@ -21,11 +23,11 @@
 STOP_FLUSH_S = 0.15
 
 
-async def serve(config: Config, operator: Operator) -> None:
+async def serve(config: Config, operator: Operator, handover: Handover) -> None:
     hub = Hub(config, SystemClock(), operator)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, hub.reload)
-    hub.start()
+    hub.start(handover.collect())
     descriptors = descriptors_left(config.sockets) - (operator.quic.max_connections if operator.quic else 0)
     if config.settings.may_probe and config.settings.report:
         descriptors -= hub.prober.most
@@ -49,18 +51,24 @@
     if operator.metrics is not None:
         reports.append(loop.create_task(report(hub.metrics, operator.metrics, config.name)))
     hub.serving = True
+    handover.serve(hub.handed, hub.post)
     gc.collect()
     gc.freeze()  # what is here now stays; collecting it again would only make jobs late
     gc.set_threshold(20_000, 50, 100)
     await stopping.wait()
-    logger.info("asked to stop: {} jobs are here", len(hub.reducer.jobs))
-    hub.stop(STOP_MS)
+    succeeded = handover.superseded
+    logger.info("asked to stop: {} jobs are here{}", len(hub.reducer.jobs),
+                ", and a new process serves" if succeeded else "")  # fmt: skip
+    if succeeded:
+        server.hand_over()
+    hub.stop(STOP_MS, succeeded)
     await asyncio.sleep(STOP_MS / 1000.0)
     server.close()
     await asyncio.sleep(STOP_FLUSH_S)
     for task in reports:
         task.cancel()
     hub.prober.close()
+    handover.close()
     if api is not None:
         api.close()
     logger.info("stopped: {} jobs are left", len(hub.reducer.jobs))
@@ -70,10 +78,13 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be followed; the file is about to be read anyway
     log_to("INFO")
     try:
-        config, operator = load_config(), load_operator()
+        config = load_config()
+        handover = Handover(os.environ.get("TMPDIR"), config.name)
+        handover.ask()  # the answer comes while the rest is read
+        operator = load_operator()
         log_to(operator.log_level)
     except (ConfigError, ValueError) as error:
         logger.error("{}", error)
         return 2
-    uvloop.run(serve(config, operator))
+    uvloop.run(serve(config, operator, handover))
     return 0
--- a/yarrowspindle/protocol/machines.py
+++ b/yarrowspindle/protocol/machines.py
@@ -62,6 +62,19 @@
     return ListTold(kind, machines, version)
 
 
+def list_data(told: ListTold, names: Names) -> dict[str, object]:
+    """A whole list in the service's form, as `parse_list` reads it."""
+    phases = {state: name for name, state in STATES.items()}
+
+    def name_of(known: list[str], number: int) -> str:
+        return known[number] if 0 <= number < len(known) else ""
+
+    return {"revision": told.version, "complete": True, "members": [
+        {"id": m.name, "host_port": f"{m.address[0]}:{m.address[1]}", "locality": name_of(names.zones, m.zone),
+         "flavor": name_of(names.kinds, m.kind), "cell": m.cell, "phase": phases[m.state], "size": m.capacity,
+         "up_since_ms": m.started_ms} for m in told.machines]}  # fmt: skip
+
+
 def watch_request(host: str, version: int) -> bytes:
     return (f"GET /api/targets?stream=1&index={version} HTTP/1.1\r\nHost: {host}\r\n"
             "Accept: application/json\r\n\r\n").encode()  # fmt: skip
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -123,10 +123,23 @@
 
 @dataclass(slots=True)
 class Stop:
-    """A planned restart or a drain: all clients are to be moved within this time; a drain is outlived."""
+    """A planned restart or a drain: all clients are to be moved within this time; a drain is outlived.
+
+    succeeded: another process of the relay serves beside this one, so clients find a door at once."""
 
     within_ms: float
     exits: bool = True
+    succeeded: bool = False
+
+
+@dataclass(slots=True)
+class Beside:
+    """What another process of this relay still holds during an upgrade: connections and their load at each node; the
+    nodes that it passes over, and for how long; how many of its connections end well in a millisecond."""
+
+    held: dict[str, tuple[int, float]]
+    avoided: dict[str, float]
+    ended: float
 
 
 @dataclass(slots=True)
@@ -174,7 +187,8 @@
 
 
 Event = (JobArrived | SubmitterLeft | OutOfTurn | NodeReached | NodeUp | AttemptOver | LoadTold | FigureTold
-         | Asked | Answered | ProbeOver | ListTold | Woke | Stop | Rejoin | Retune | Reloaded | Rebalance | Stalled)
+         | Asked | Answered | ProbeOver | Beside | ListTold | Woke | Stop | Rejoin | Retune | Reloaded | Rebalance
+         | Stalled)
 
 
 # --- effects ------------------------------------------------------------------------------------
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -22,6 +22,7 @@
     Ask,
     Asked,
     AttemptOver,
+    Beside,
     Close,
     Deny,
     Drop,
@@ -108,7 +109,7 @@
             AttemptOver: self._over, LoadTold: self._load, FigureTold: self._figure,
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
             Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
-            Retune: self._retune, ProbeOver: self._probe_over,
+            Retune: self._retune, ProbeOver: self._probe_over, Beside: self._beside,
         }  # fmt: skip
 
     def step(self, now: float, event: Event) -> list[Effect]:
@@ -561,7 +562,21 @@
         self.stop_at, self.exits = self.now + event.within_ms, event.exits
         if self.rebalance is not None:
             self.rebalance.stop()
-        self.effects.append(Wake(min(STOP_QUIET_MS, event.within_ms / 2.0), STOPPING))
+        quiet = 0.0 if event.succeeded else min(STOP_QUIET_MS, event.within_ms / 2.0)
+        self.effects.append(Wake(quiet, STOPPING))
+
+    def _beside(self, event: Beside) -> None:
+        """The other process's nodes by the module's numbers; a node that this one's list does not name is no use."""
+        self._tell(module.Beside(
+            {self.nodes[n].number: held for n, held in event.held.items() if n in self.nodes},
+            {self.nodes[n].number: ms for n, ms in event.avoided.items() if n in self.nodes}, event.ended))  # fmt: skip
+
+    def beside(self) -> Beside:
+        """The same of this process, for another one."""
+        held = {n.name: (len(n.jobs), sum(self.jobs[j].load for j in n.jobs)) for n in self.nodes.values() if n.jobs}
+        avoided = self.balancer.avoided(self.now)
+        return Beside(held, {self.numbers[n].name: ms for n, ms in avoided.items() if n in self.numbers},
+                      self.balancer.ended.get(self.now))  # fmt: skip
 
     def _rejoin(self, event: Rejoin) -> None:
         if self.stop_at:
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -22,6 +22,7 @@
         self.sock = socket.create_server(address, backlog=backlog, reuse_port=hasattr(socket, "SO_REUSEPORT"))
         self.sock.setblocking(False)
         self.later: asyncio.TimerHandle | None = None
+        self.closed = False
         self.tasks: set[asyncio.Task[object]] = set()
         self._listen()
 
@@ -57,7 +58,24 @@
         self.loop.remove_reader(self.sock)
         self.later = self.loop.call_later(AGAIN_S, self._listen)
 
+    def hand_over(self) -> None:
+        """Another process listens at the same address: take in who waits at this one's door, and close it. Closed with
+        somebody at it, the kernel would reset them."""
+        while not self.closed and self.room():
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:  # nobody is left, or nobody can be taken in
+                break
+            sock.setblocking(False)
+            task = self.loop.create_task(self._take_in(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        self.close()
+
     def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
         if self.later is not None:
             self.later.cancel()
         self.loop.remove_reader(self.sock)
