Let relays hear one another: members, signals, the module's book of what others hold; off

Need: each relay judged nodes by its own connections times the number of relays.

The circle of fleet, relay and submitter in lab/model is untied: what a relay meets and where a submitter stands are protocols.

--- a/yarrowspindle/books.py
+++ b/yarrowspindle/books.py
@@ -12,7 +12,7 @@
 
     __slots__ = ("id", "zone", "cell", "capacity", "started", "ready", "open", "load", "strikes", "bad_until",
                  "slow_until", "message_ms", "broke_at", "broke", "groups", "classes", "used", "holds", "asked_at",
-                 "since")  # fmt: skip
+                 "told_at", "since")  # fmt: skip
 
     def __init__(self, server: int) -> None:
         self.id = server
@@ -26,7 +26,7 @@
         self.groups: dict[int, int] = {}  # own connections of each group, and of each class
         self.classes: dict[int, int] = {}
         self.used, self.holds = -1.0, 0.0  # as its last load report told (below 0: none did): load over capacity
-        self.asked_at = -inf  # when it was last probed
+        self.asked_at = self.told_at = -inf  # when it was last probed; when it last told us, not another relay
         self.since: list[tuple[float, float]] = []  # what was placed there (or ended) since that report: when, by what
 
     def ramp(self, now: float, settings: Settings) -> float:
@@ -65,6 +65,23 @@
         self.ran_on: Server | None = None
 
 
+def known(jobs: dict[int, Job], request: int) -> Job:
+    job = jobs.get(request)
+    if job is None:
+        raise ValueError(f"unknown request {request}")
+    return job
+
+
+class SetUps:
+    """How much of their aim the last few set-ups took; one that failed took all of it."""
+
+    def __init__(self) -> None:
+        self.part = 0.0
+
+    def took(self, part: float) -> None:
+        self.part += (part - self.part) / 8.0
+
+
 class Rate:
     """Events a millisecond, averaged over about `over_ms`."""
 
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -270,8 +270,37 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Others:
+    """What the other balancers hold, as far as it changed since this was last told. Servers by the low 32 bits of their
+    numbers (`SERVER_KEY`).
+
+    holds: server -> connections and load of all others that were heard of, the new sums. came: server -> connections
+    that came there (or went) since, as far as that is known. heard: of how many balancers `holds` is the sum.
+    balancers: that are there, this one included. age_ms: of the word. shunned: servers that more than half of those
+    heard pass over. reports: server -> use, connections, age in milliseconds: load reports that others were told.
+    rank: this balancer's place among those that are there; what one does for all goes by turns."""
+
+    holds: dict[int, tuple[int, float]] = field(default_factory=dict)
+    came: dict[int, int] = field(default_factory=dict)
+    heard: int = 0
+    balancers: int = 1
+    age_ms: float = 0.0
+    shunned: frozenset[int] = frozenset()
+    reports: dict[int, tuple[float, float, float]] = field(default_factory=dict)
+    rank: int = 0
+
+
+SERVER_KEY = (1 << 32) - 1
+
+
+def group_key(server: int, group: int) -> int:
+    """By which it is told how many connections of a group a server holds: as if the two were one more server."""
+    return ((server ^ group * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 >> 20) & SERVER_KEY
+
+
 Event = (ServerList | Request | Adopted | Established | AttemptEnded | LoadChanged | ServerSlow | TimerDue
-         | Probed | PeerMessage | ClientGone | Levelling | Retuned)
+         | Probed | PeerMessage | ClientGone | Levelling | Retuned | Others)
 
 
 # --- actions ------------------------------------------------------------------------------------
--- a/yarrowspindle/lab/model/fleet.py
+++ b/yarrowspindle/lab/model/fleet.py
@@ -13,9 +13,10 @@
 from yarrowspindle.lab.model.relay import ModelRelay, machine
 from yarrowspindle.lab.model.rules import Rules
 from yarrowspindle.lab.model.submitter import Submitter
+from yarrowspindle.lab.model.talk import Talk
 from yarrowspindle.rebalance import RebalanceSettings
 from yarrowspindle.routing.ending import Ending
-from yarrowspindle.routing.messages import ListTold, Rebalance
+from yarrowspindle.routing.messages import ListTold, OthersTold, Rebalance
 
 AGAIN_MS = (60.0, 1400.0)  # a moved or broken submitter comes again within this time
 SIZES = (6.0, 4.8, 2.4)  # kinds of machines: three fast cores, four middling, three slow
@@ -76,6 +77,9 @@
     by_own_load: bool = False  # as the platform's relays judge
     zones: int = 1  # nodes and relays lie in them by turns; crossing has a price where there are several
     rebalance: RebalanceSettings | None = None
+    # "net": relays hear one another over a virtual network; "known": each knows at once; "": not at all
+    peers: str = ""
+    peer_keys: tuple[tuple[str, float], ...] = ()  # changes of the peers' settings
     alike: bool = field(default=False)  # all relays plan in the same instant
 
 
@@ -119,6 +123,9 @@
         self.settings, self.starts = settings, 0
         self.relays = [self._relay(i) for i in range(spec.relays)]
         self.weights = list(spec.weights) or [1.0] * spec.relays
+        self.talk = Talk(self.clock, seed, spec.peers, dict(spec.peer_keys)) if spec.peers else None
+        for relay in self.relays:
+            self._join(relay)
         whole = self.whole_list()
         for relay in self.relays:
             relay.post(replace(whole))
@@ -135,15 +142,30 @@
         own = replace(self.settings, number=index, zone=index % self.spec.zones)
         return ModelRelay(self, index, own, self.seed * 1009 + self.starts - 1)
 
+    def _join(self, relay: ModelRelay) -> None:
+        if self.talk is not None:
+            self.talk.join(relay.index, lambda: relay.reducer.balancer.servers.values(),
+                           lambda others: relay.post(OthersTold(others)))  # fmt: skip
+
+    def kill_relay(self, index: int) -> None:
+        """It ends at once; what it held breaks."""
+        self.relays[index].die()
+        if self.talk is not None:
+            self.talk.end(index)
+
+    def start_relay(self, index: int) -> None:
+        self._start_again(index)
+
     def restart_relays(self, relays: list[ModelRelay], after_ms: float) -> None:
         """They are killed at once, and start again from nothing; what they held breaks and comes again."""
         for relay in relays:
-            relay.die()
+            self.kill_relay(relay.index)
             self.clock.after(after_ms, self._start_again, relay.index)
 
     def _start_again(self, index: int) -> None:
         self.relays[index] = self._relay(index)
         self.relays[index].post(self.whole_list())
+        self._join(self.relays[index])
 
     def configure(self, settings: RebalanceSettings | None) -> None:
         """What SIGHUP does at all relays at once."""
@@ -205,6 +227,29 @@
             node.restart(self.clock.time)
         self.tell(State.READY, *nodes)
 
+    @property
+    def hints(self) -> bool:
+        return self.spec.hints
+
+    @property
+    def tells_load(self) -> bool:
+        return self.spec.tells_load
+
+    @property
+    def drain_grace_ms(self) -> float:
+        return self.spec.drain_grace_ms
+
+    @property
+    def answer_slack_ms(self) -> float:
+        return self.spec.answer_slack_ms
+
+    def worth_of(self, cls: int) -> float:
+        return self.classes[cls].worth
+
+    def usual_load(self, cls: int) -> float:
+        """Of a class, where loads differ by class."""
+        return self.unit_load * self.classes[cls].load if self.spec.classes else 0.0
+
     def latency(self) -> float:
         return self.random.uniform(0.2, 3.0)
 
@@ -318,7 +363,7 @@
         if submitter.up and relay is not None:
             relay.served_to_end(submitter)
         else:
-            if relay is not None and relay.submitters.get(submitter.job) is submitter:
+            if relay is not None and relay.holds(submitter):
                 relay.leave(submitter)
             self._gone(submitter)
 
@@ -334,10 +379,10 @@
         self.wanted += sum(self.classes[s.cls].worth for s in self.submitters)
         self.served += sum(n.worth * n.share_served(now) for n in self.nodes.values() if n.held)
         for submitter in self.submitters:
-            attempt = submitter.relay.attempts.get(submitter.job) if submitter.up and submitter.relay else None
-            if attempt is not None and attempt.node is not None and submitter.relay is not None:
+            zone = submitter.relay.zone_of(submitter) if submitter.up and submitter.relay else None
+            if zone is not None and submitter.relay is not None:
                 self.stood += 1.0
-                self.crossed += attempt.node.zone != submitter.relay.zone
+                self.crossed += zone != submitter.relay.zone
         self._talk(now)
         for sample in self.samples:
             sample(self.clock.seconds)
--- a/yarrowspindle/lab/model/relay.py
+++ b/yarrowspindle/lab/model/relay.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from yarrowspindle.interface import Settings, State
 from yarrowspindle.lab.model.clock import Timer, VirtualClock
 from yarrowspindle.lab.model.node import ModelNode
+from yarrowspindle.lab.model.rules import Rules
 from yarrowspindle.lab.model.submitter import Submitter
 from yarrowspindle.routing.ending import Ending
 from yarrowspindle.routing.messages import (
@@ -37,12 +39,36 @@
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.runtime import Runtime, Timers
 
-if TYPE_CHECKING:
-    from yarrowspindle.lab.model.fleet import Fleet
-
 GRACE_SLACK_MS = 50.0  # the rules allow it beyond the drain's grace
 
 
+class World(Protocol):
+    """What a relay meets: nodes, the time and the network between, and submitters that come and go."""
+
+    clock: VirtualClock
+    rules: Rules
+    nodes: dict[str, ModelNode]
+    counts: Counter[str]
+    unit_load: float
+
+    @property
+    def hints(self) -> bool: ...
+    @property
+    def tells_load(self) -> bool: ...
+    @property
+    def drain_grace_ms(self) -> float: ...
+    @property
+    def answer_slack_ms(self) -> float: ...
+    def latency(self) -> float: ...
+    def usual_load(self, cls: int) -> float: ...
+    def worth_of(self, cls: int) -> float: ...
+    def node_died(self, node: ModelNode) -> None: ...
+    def submitter_up(self, submitter: Submitter) -> None: ...
+    def submitter_refused(self, submitter: Submitter, after_ms: float) -> None: ...
+    def submitter_moved(self, submitter: Submitter, node: ModelNode | None) -> None: ...
+    def submitter_closed(self, submitter: Submitter, ending: Ending) -> None: ...
+
+
 class Attempt:
     __slots__ = ("job", "number", "node", "sent", "up")
 
@@ -78,7 +104,7 @@
 
 
 class ModelRelay:
-    def __init__(self, fleet: Fleet, index: int, settings: Settings, seed: int) -> None:
+    def __init__(self, fleet: World, index: int, settings: Settings, seed: int) -> None:
         self.fleet, self.index, self.clock = fleet, index, fleet.clock
         self.runtime = Runtime(Reducer(settings, seed, fleet.clock.now()), fleet.clock, self._log,
                                VirtualTimers(fleet.clock))  # fmt: skip
@@ -135,10 +161,18 @@
         job = submitter.job = self.runtime.new_job(self)
         submitter.relay, submitter.answers = self, 0
         self.submitters[job] = submitter
-        load = submitter.load if self.fleet.spec.hints else 0.0
+        load = submitter.load if self.fleet.hints else 0.0
         self.post(JobArrived(job, deadline_ms, submitter.cls, key=submitter.key, group=submitter.group, load=load,
                              returned=submitter.returned))  # fmt: skip
 
+    def holds(self, submitter: Submitter) -> bool:
+        return self.submitters.get(submitter.job) is submitter
+
+    def zone_of(self, submitter: Submitter) -> int | None:
+        """The zone of the node at which it stands."""
+        attempt = self.attempts.get(submitter.job)
+        return attempt.node.zone if attempt is not None and attempt.node is not None else None
+
     def leave(self, submitter: Submitter) -> None:
         self.submitters.pop(submitter.job, None)
         self.post(SubmitterLeft(submitter.job))
@@ -153,7 +187,7 @@
         attempt = self.attempts.get(submitter.job)
         if attempt is not None and attempt.up and attempt.node is not None:
             attempt.node.change((self.index, attempt.job), load)
-            if self.fleet.spec.tells_load:
+            if self.fleet.tells_load:
                 self.post(LoadTold(attempt.job, load))
 
     # --- nodes ----------------------------------------------------------------------------------
@@ -186,13 +220,12 @@
         assert node is not None
         attempt.sent = True
         told = self.stopped_nodes.get(node.name)
-        if told is not None and self.clock.now() > told + self.fleet.spec.drain_grace_ms + GRACE_SLACK_MS:
+        if told is not None and self.clock.now() > told + self.fleet.drain_grace_ms + GRACE_SLACK_MS:
             self.fleet.rules.note("drain", self.clock.seconds, f"{node.name} was sent job {effect.job}")
         submitter = self.submitters[effect.job]
         now = self.clock.now()
-        cls = self.fleet.classes[submitter.cls]
-        usual = self.fleet.unit_load * cls.load if self.fleet.spec.classes else 0.0
-        if not node.take(now, (self.index, effect.job), submitter.load, submitter.group, cls.worth, usual):
+        worth, usual = self.fleet.worth_of(submitter.cls), self.fleet.usual_load(submitter.cls)
+        if not node.take(now, (self.index, effect.job), submitter.load, submitter.group, worth, usual):
             self.clock.after(self.fleet.latency(), self._turned_away, attempt)
             if node.fallen:
                 self.fleet.node_died(node)
@@ -256,7 +289,7 @@
             submitter.answers += 1
             if submitter.answers > 1:
                 self.fleet.rules.note("one final answer", self.clock.seconds, f"job {job} got {what}")
-            if self.clock.now() > submitter.deadline + self.fleet.spec.answer_slack_ms:
+            if self.clock.now() > submitter.deadline + self.fleet.answer_slack_ms:
                 self.fleet.rules.note("in time", self.clock.seconds, f"job {job} got {what}")
         return submitter
 
--- a/yarrowspindle/lab/model/submitter.py
+++ b/yarrowspindle/lab/model/submitter.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from yarrowspindle.lab.model.relay import ModelRelay
+
+class Door(Protocol):
+    """The relay at which a submitter stands, as far as the submitter's side knows it."""
+
+    zone: int
+
+    def holds(self, submitter: Submitter) -> bool: ...
+    def zone_of(self, submitter: Submitter) -> int | None: ...
+    def leave(self, submitter: Submitter) -> None: ...
+    def served_to_end(self, submitter: Submitter) -> None: ...
+    def load_changed(self, submitter: Submitter, load: float) -> None: ...
 
 
 class Submitter:
@@ -15,7 +24,7 @@
     def __init__(self, key: int, group: int, load: float, ends: float, cls: int = 0) -> None:
         self.cls = cls
         self.key, self.group, self.load, self.base, self.ends = key, group, load, load, ends
-        self.relay: ModelRelay | None = None
+        self.relay: Door | None = None
         self.job = self.answers = self.moves = self.tries = 0
         self.deadline = 0.0
         self.returned = self.up = self.over = False
--- /dev/null
+++ b/yarrowspindle/others.py
@@ -0,0 +1,83 @@
+"""The module's book of what other balancers hold, where they tell it. It decides nothing.
+
+Of n balancers h were heard of, with a weight w that falls from 1 to 0 as their word grows old. The n - 1 - w h others
+are taken to hold what we hold, as all of them are where nothing is told: then every comparison is the one on own load.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from math import inf
+
+from yarrowspindle.books import Server
+from yarrowspindle.interface import SERVER_KEY, Others, group_key
+
+FRESH_MS, OLD_MS = 1500.0, 4500.0
+MOVERS = 2  # balancers that move connections on one beat
+TURN_BEAT_MS = 500.0
+TURN_MS = 2000.0  # a server that nobody probed for so long is anybody's turn
+
+
+class OthersBook:
+    def __init__(self, balancers: int) -> None:
+        self.settled = balancers
+        self.told_at, self.told_age = -inf, inf
+        self.heard, self.rank, self.members = 0, 0, 1
+        self.holds: dict[int, tuple[int, float]] = {}
+        self.shunned: frozenset[int] = frozenset()
+
+    def told(self, event: Others, now: float) -> None:
+        self.told_at, self.told_age, self.heard = now, event.age_ms, event.heard
+        self.rank, self.members, self.shunned = event.rank, event.balancers, event.shunned
+        for key, held in event.holds.items():
+            if held == (0, 0.0):
+                self.holds.pop(key, None)
+            else:
+                self.holds[key] = held
+
+    def shares(self, now: float) -> tuple[float, float]:
+        """By how much a load told of counts, over an own one; and how many balancers are taken to hold what we hold."""
+        alike = float(max(self.settled, self.members))
+        if not self.heard:
+            return 0.0, alike
+        weight = (OLD_MS - self.told_age - (now - self.told_at)) / (OLD_MS - FRESH_MS)
+        weight = min(max(weight, 0.0), 1.0)
+        alike = max(1.0, alike - weight * self.heard)
+        return weight / alike, alike
+
+    def load(self, server: Server) -> float:
+        return self.holds.get(server.id & SERVER_KEY, (0, 0.0))[1]
+
+    def group(self, server: Server, group: int) -> int:
+        """How many connections of the group others hold there."""
+        return self.holds.get(group_key(server.id, group), (0, 0.0))[0] if self.heard else 0
+
+    def passed(self, server: Server) -> bool:
+        """Most of the others pass it over."""
+        return bool(self.shunned) and server.id & SERVER_KEY in self.shunned
+
+    def turn(self, server: Server, now: float) -> bool:
+        """Whether it is ours to probe: one balancer probes it for all, unless that one does not."""
+        mine = (server.id & SERVER_KEY) % max(self.members, 1) == self.rank
+        return self.heard == 0 or mine or now >= server.asked_at + TURN_MS
+
+    def moves(self, now: float) -> int:
+        """How many connections we may move on this beat to gain by it: who sees what the others see, and moves when
+        they do, moves too many. So those heard of go by turns."""
+        return 1 if not self.heard else int((int(now / TURN_BEAT_MS) + self.rank) % max(self.members, 1) < MOVERS)
+
+    def news(self, event: Others, servers: dict[int, Server], now: float
+             ) -> Iterator[tuple[Server, int, tuple[float, float, float] | None]]:  # fmt: skip
+        """Servers at which others' connections came or went (how many), or of which another balancer was told a load
+        report that is newer than ours (use, connections, when)."""
+        if not event.came and not event.reports:
+            return
+        for server in servers.values():
+            key, report = server.id & SERVER_KEY, None
+            used, holds, age = event.reports.get(key, (0.0, 0.0, inf))
+            if now - age > server.asked_at:
+                server.asked_at = now - age
+                report = (used, holds, now - age)
+            came = event.came.get(key, 0)
+            if came or report is not None:
+                yield server, came, report
--- /dev/null
+++ b/yarrowspindle/peers/__init__.py
@@ -0,0 +1,9 @@
+"""Relays that hear one another: members, and what each of them holds. Pure: no sockets, no event loop, no clock.
+
+Needs the extra `peers` (msgspec); the platform does without it.
+"""
+
+from yarrowspindle.peers.core import Peers
+from yarrowspindle.peers.settings import PeerError, PeerSettings, read_peers
+
+__all__ = ["PeerError", "PeerSettings", "Peers", "read_peers"]
--- /dev/null
+++ b/yarrowspindle/peers/codec.py
@@ -0,0 +1,163 @@
+"""What relays send one another: plain structs in MessagePack by msgspec. No wire format of our own.
+
+A datagram is one `Datagram`. It is checked whole before anything looks at it: types, lengths, version, cluster. What
+fails raises `Dropped` with the cause by which it is counted.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from yarrowspindle.peers.settings import NAME_MOST
+from yarrowspindle.routing.messages import Address
+
+VERSION = 1
+MOST = 1200  # bytes of a datagram
+Name = Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
+Host = Annotated[str, Meta(max_length=15)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Number = Annotated[int, Meta(ge=0, lt=1 << 53)]
+Flat = Annotated[list[Annotated[int, Meta(ge=0, lt=1 << 32)]], Meta(max_length=1200)]
+
+ALIVE, SUSPECT, DEAD, LEFT = 0, 1, 2, 3
+STATES = ("alive", "suspect", "dead", "left")
+
+
+class Dropped(Exception):
+    """A datagram that is not taken; the text is its cause, one of few."""
+
+
+class Rumour(Struct, array_like=True, frozen=True):
+    """What somebody says of a member. life: of the process; turn: within its life, raised by itself alone."""
+
+    name: Name
+    host: Host
+    port: Port
+    life: Number
+    turn: Number
+    state: Annotated[int, Meta(ge=ALIVE, le=LEFT)]
+    by: Annotated[str, Meta(max_length=NAME_MOST)] = ""  # of a suspicion: who has it
+
+
+class Ping(Struct, array_like=True, tag=1, frozen=True):
+    """Are you there? view: a digest of the sender's table, so that differences show."""
+
+    number: Number
+    to: Name  # a relay of another name that listens there now must not answer for it
+    view: Number
+
+
+class Ack(Struct, array_like=True, tag=2, frozen=True):
+    """Yes."""
+
+    number: Number
+    view: Number
+    of: Name  # who is there: the sender, or who was asked for another
+
+
+class PingFor(Struct, array_like=True, tag=3, frozen=True):
+    """Ask that member for me; answered by its `Ack` or by a `Nack`."""
+
+    number: Number
+    to: Name
+    host: Host
+    port: Port
+
+
+class Nack(Struct, array_like=True, tag=4, frozen=True):
+    """It has not answered me yet either; so the way between us two is open."""
+
+    number: Number
+
+
+class Tell(Struct, array_like=True, tag=5, frozen=True):
+    """Rumours only. whole: the sender's table is in here and in the others like it, and it wants ours in return."""
+
+    whole: bool = False
+
+
+class Signal(Struct, array_like=True, tag=6, frozen=True):
+    """What the sender holds. All figures are absolute.
+
+    base, version: what changed after `base` up to `version` is in `changed`, whole.
+    changed, part: node key, connections, load, each three figures. part, first, last: all that the sender holds at
+    nodes with keys from first to last: what is not named there is nothing.
+    passed: node key, milliseconds that it is still passed over. reports: node key, use in thousandths, connections,
+    age in milliseconds.
+    """
+
+    base: Number
+    version: Number
+    changed: Flat
+    first: Number = 0
+    last: Number = 0
+    part: Flat = []
+    passed: Flat = []
+    reports: Flat = []
+
+
+class Wanted(Struct, array_like=True, tag=7, frozen=True):
+    """Some of what you told was lost: tell me the whole."""
+
+
+Body = Ping | Ack | PingFor | Nack | Tell | Signal | Wanted
+
+
+class Datagram(Struct, array_like=True, frozen=True):
+    version: int
+    cluster: Annotated[str, Meta(max_length=NAME_MOST)]
+    name: Name
+    host: Host
+    port: Port
+    life: Number
+    turn: Number
+    at: Number  # the sender's own monotonic milliseconds
+    body: Body
+    rumours: Annotated[list[Rumour], Meta(max_length=64)] = []
+
+    @property
+    def address(self) -> Address:
+        return self.host, self.port
+
+
+class _Head(Struct, array_like=True, frozen=True):
+    """The start of a datagram of any version."""
+
+    version: int
+    cluster: str
+
+
+class Codec:
+    def __init__(self, cluster: str) -> None:
+        self.cluster = cluster
+        self.encode = msgspec.msgpack.Encoder().encode
+        self._decode = msgspec.msgpack.Decoder(Datagram).decode
+        self._head = msgspec.msgpack.Decoder(_Head).decode
+
+    def decode(self, data: bytes) -> Datagram:
+        if len(data) > MOST:
+            raise Dropped("too long")
+        try:
+            datagram = self._decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+            raise Dropped(self._why(data)) from None
+        if datagram.version != VERSION:
+            raise Dropped("another version")
+        if datagram.cluster != self.cluster:
+            raise Dropped("another cluster")
+        body = datagram.body
+        if isinstance(body, Signal) and (
+                len(body.changed) % 3 or len(body.part) % 3 or len(body.passed) % 2 or len(body.reports) % 4
+                or body.base > body.version or body.first > body.last):  # fmt: skip
+            raise Dropped("nonsense")
+        return datagram
+
+    def _why(self, data: bytes) -> str:
+        try:
+            head = self._head(data)
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+            return "nonsense"
+        return "another version" if head.version != VERSION else "nonsense"
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -13,12 +13,13 @@
 from random import Random
 from typing import Any
 
-from yarrowspindle.books import Job, Loads, Rate, Server, Trouble
+from yarrowspindle.books import Job, Loads, Rate, Server, SetUps, Trouble, known
 from yarrowspindle.interface import (
     NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Effect, Established, Event, Fail, Group,
-    Levelling, ListKind, LoadChanged, Move, Outcome, PeerMessage, Probe, Probed, Refuse, Request, Send,
-    ServerList, Retuned, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
+    Levelling, ListKind, LoadChanged, Move, Others, Outcome, PeerMessage, Probe, Probed, Refuse, Request,
+    Retuned, Send, ServerList, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
 )  # fmt: skip
+from yarrowspindle.others import OthersBook
 from yarrowspindle.reports import SICK, Estimates
 from yarrowspindle.ring import Ring
 
@@ -60,9 +61,10 @@
         self.cold_ends: list[float] = []
         self.cold_at, self.fed_at, self.standing = -inf, now, 0
         self.jobs: dict[int, Job] = {}
-        self.estimates = Estimates(settings) if settings.may_probe and settings.report else None
+        self.others = OthersBook(settings.balancers)
+        self.estimates = Estimates(settings, self.others) if settings.may_probe and settings.report else None
         self.probes, self.beating = 0.0, False  # that may go out at once
-        self.trouble, self.set_up = Trouble(settings.fall_ms / 8.0, now), 0.0
+        self.trouble, self.set_up = Trouble(settings.fall_ms / 8.0, now), SetUps()
         self.spare = SPARE_MOST  # other attempts that may go out at once
         # Own connections that ended well: in the long run as many as are wanted, whoever comes again.
         self.ended, self.loads = Rate(settings.cold_ms, now), Loads()
@@ -77,7 +79,7 @@
             LoadChanged: self._load_changed, ServerSlow: self._slow, TimerDue: self._timer,
             ServerList: self._list, Adopted: self._adopted, ClientGone: self._gone,
             Probed: self._probed, PeerMessage: lambda event: None, Retuned: self._retuned,
-            Levelling: lambda event: setattr(self, "level", event.level),
+            Others: self._others, Levelling: lambda event: setattr(self, "level", event.level),
         }  # fmt: skip
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -176,8 +178,7 @@
     def _ask_later(self, least: float, most: float) -> None:
         """Subscribe at some moment between these parts of ask_within; one call is under way at a time."""
         if self.settings.asks and not self.asking:
-            self.asking = True
-            part = least + (most - least) * self.random()
+            self.asking, part = True, least + (most - least) * self.random()
             self._later(part * self.settings.ask_within_ms, self._subscribe)
 
     def _subscribe(self) -> None:
@@ -193,12 +194,12 @@
             inner = outer = self._repeat_group(job, job.ran_on)
         elif (cold := self._feed()) is not None:
             return cold
-        if (known := self.estimates) is not None:
-            best = self._cheapest(known, job, (inner, outer))[0]
+        if (told := self.estimates) is not None:
+            best = self._cheapest(told, job, (inner, outer))[0]
             if best is None or best.used >= SICK:  # by luck: who answers goes before who does not
-                well = (s for s in outer.pool if s.used < SICK and s is not job.server)
-                well = (s for s in well if s.usable(self.now, self.settings))
-                best = min(well, key=lambda s: self._cost(known, s, job), default=best)
+                well = (s for s in outer.pool
+                        if s.used < SICK and s is not job.server and s.usable(self.now, self.settings))
+                best = min(well, key=lambda s: self._cost(told, s, job), default=best)
             return best
         # What home is short of goes to all zones, or the first servers back there would get all of it.
         if inner.total < inner.usual and self.random() * inner.usual >= inner.total:
@@ -224,10 +225,12 @@
         return best
 
     def _rank(self, server: Server) -> tuple[int, float]:
-        bad = 2 if self.now < server.bad_until else 1 if self.now < server.slow_until else 0
+        counts, alike = self.others.shares(self.now)
+        slow = self.now < server.slow_until or self.others.passed(server)
         dear = self.blind and self.inner is not self.everywhere and server.zone != self.settings.zone
-        away = AWAY / self.settings.balancers if dear else 0.0
-        return bad, (server.load + self.loads.mean) / server.capacity + away
+        load = server.load + counts * self.others.load(server) + self.loads.mean
+        bad = 2 if self.now < server.bad_until else int(slow)
+        return bad, load / server.capacity + (AWAY / alike if dear else 0.0)
 
     # --- where servers tell their load when they are probed -------------------------------------
 
@@ -262,12 +265,13 @@
         self._later(BEAT_MS, self._beat)
         if known is None:
             return
-        for server in sorted((s for s in self.servers.values() if s.ready), key=lambda s: s.asked_at):
+        ours = (s for s in self.servers.values() if s.ready and self.others.turn(s, self.now))
+        for server in sorted(ours, key=lambda s: s.asked_at):
             if self.probes < 1.0 or self.now < server.asked_at + 1.9 * BEAT_MS:
                 break
             self.probes, server.asked_at = self.probes - 1.0, self.now
             self.out.append(Probe(server.id))
-        enough, left = MOVE_GAIN * known.worth, {-1: 1}  # one connection, and some more from each full server
+        enough, left = MOVE_GAIN * known.worth, {-1: self.others.moves(self.now)}  # some from full ones
         gains = [(self._gain(known, j, j.server), -j.id, j.server) for j in self.jobs.values()
                  if j.out and j.established and j.owed and j.server is not None]  # fmt: skip
         gains = sorted((g for g in gains if g[0] > enough), key=lambda g: g[:2], reverse=True)
@@ -300,6 +304,13 @@
             silent = event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CONNECT_FAILED)
             self.estimates.told(server, self.now, event.report, silent)
 
+    def _others(self, event: Others) -> None:
+        """What other balancers hold, and what their probes brought."""
+        self.others.told(event, self.now)
+        if self.estimates is not None:
+            for server, came, report in self.others.news(event, self.servers, self.now):
+                self.estimates.beside(server, came, report, self.now)
+
     # --- cold budget ----------------------------------------------------------------------------
 
     def _feed(self) -> Server | None:
@@ -393,7 +404,7 @@
         if self._misses(server, job):
             return True
         # Set-ups take most of their aim: the store they share has a queue. Fewer wait, more arrive.
-        if self.set_up > 0.5 and self.random() < min(0.9, 2.0 * self.set_up - 1.0):
+        if self.set_up.part > 0.5 and self.random() < min(0.9, 2.0 * self.set_up.part - 1.0):
             return True
         if server.open and not self.settings.retry_after:
             return False
@@ -431,21 +442,17 @@
         self._hold_on(job.server, job)
 
     def _established(self, event: Established) -> None:
-        job = self._known(event.request)
+        job = known(self.jobs, event.request)
         job.established = True
         self.spare = min(self.spare + RETRY_PART, SPARE_MOST)
-        self._took(min(1.0, event.latency_ms / self.settings.classes[job.cls].aim_ms))
+        self.set_up.took(min(1.0, event.latency_ms / self.settings.classes[job.cls].aim_ms))
         if job.server is not None:
             job.server.strikes //= 2
             if not job.server.strikes:  # it stands: no reason to pass it over any longer
                 job.server.bad_until = -1.0
 
-    def _took(self, part: float) -> None:
-        """Keep in mind how much of their aim the last few set-ups took; one that failed took all of it."""
-        self.set_up += (part - self.set_up) / 8.0
-
     def _ended(self, event: AttemptEnded) -> None:
-        job = self._known(event.request)
+        job = known(self.jobs, event.request)
         server = job.server
         if not job.out or server is None or event.attempt != job.attempts - 1:
             raise ValueError(f"attempt {event.attempt} of request {event.request} is not out")
@@ -462,7 +469,7 @@
             server.bad_until = self.now + rest * 2.0 ** (min(server.strikes, STRIKES_MOST) - 1)
             self._mark(server)
         if not job.established and event.outcome in (Outcome.ERROR, Outcome.TIMEOUT):
-            self._took(1.0)
+            self.set_up.took(1.0)
         if dropped:
             server.slow_until, server.message_ms = self.now + FORGET_MS, inf
             self._mark(server)
@@ -489,18 +496,11 @@
                 self.out.append(Cancel(job.id, job.attempts - 1))
             self._close(job)
 
-    def _known(self, request: int) -> Job:
-        job = self.jobs.get(request)
-        if job is None:
-            raise ValueError(f"unknown request {request}")
-        return job
-
     def _load_changed(self, event: LoadChanged) -> None:
         job = self.jobs.get(event.request)
         if job is not None and job.out and job.server is not None:
-            load = self.loads.of(event.load)
-            job.server.load += load - job.load
-            job.load = load
+            before, job.load = job.load, self.loads.of(event.load)
+            job.server.load += job.load - before
 
     def _slow(self, event: ServerSlow) -> None:
         """Told once a second while messages take long; silence means that we no longer know."""
@@ -519,7 +519,7 @@
             return
         # A move is one more set-up: fewer while these take long.
         trouble = self.trouble.share(server.zone, self.held_at, self.now)
-        if self.random() < MOVE_PART * max(shed, 1.0 - trouble) * (1.0 - self.set_up):
+        if self.random() < MOVE_PART * max(shed, 1.0 - trouble) * (1.0 - self.set_up.part):
             # The heaviest that we hold there: a move costs the same for each and brings most relief with it.
             if server.open > 1:
                 held = (j for j in self.jobs.values() if j.server is server and j.established and j.owed)
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -15,7 +15,8 @@
 from yarrowspindle.routing.messages import Address, ListTold
 from yarrowspindle.settings import SettingsError, read_settings
 
-if TYPE_CHECKING:  # the platform does without the package
+if TYPE_CHECKING:  # the platform does without these packages
+    from yarrowspindle.peers import PeerSettings
     from yarrowspindle.rebalance import RebalanceSettings
 
 
@@ -119,12 +120,13 @@
     quic: QuicConfig | None = None
     metrics: MetricsConfig | None = None
     rebalance: RebalanceSettings | None = None
+    peers: PeerSettings | None = None
 
 
 def read_operator(text: str) -> Operator:
     try:
         data = tomllib.loads(text)
-        unknown = data.keys() - {"log", "quic", "metrics", "rebalance"}
+        unknown = data.keys() - {"log", "quic", "metrics", "rebalance", "peers"}
         if unknown:
             raise ValueError(f"unknown sections: {sorted(unknown)}")
         return Operator(
@@ -132,6 +134,7 @@
             read_quic(dict(data["quic"])) if "quic" in data else None,
             read_metrics(dict(data["metrics"])) if "metrics" in data else None,
             read_rebalance(data["rebalance"]) if "rebalance" in data else None,
+            read_peers(data["peers"]) if "peers" in data else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError, ListError) as error:
         raise ConfigError(f"the operator's file makes no sense: {error!r}") from error
@@ -152,6 +155,14 @@
     return read(section)
 
 
+def read_peers(section: Mapping[str, Any]) -> PeerSettings:
+    try:
+        from yarrowspindle.peers.settings import read_peers as read  # the platform does without the package
+    except ImportError as error:
+        raise ValueError(f"[peers] needs requirements-peers.txt: {error}") from error
+    return read(section)
+
+
 def read_metrics(section: dict[str, Any]) -> MetricsConfig:
     for name in ("graphite", "collectd"):
         if name in section:
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -42,6 +42,12 @@
         from yarrowspindle.program.quic_front import QuicFront  # needs packages that the platform does without
 
         await QuicFront(hub, operator.quic).start()
+    peering = None
+    if operator.peers is not None:
+        from yarrowspindle.program.peering import Peering  # needs a package that the platform does without
+
+        peering = Peering(hub, operator.peers)
+        peering.start()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
@@ -60,6 +66,8 @@
     await asyncio.sleep(STOP_FLUSH_S)
     for task in reports:
         task.cancel()
+    if peering is not None:
+        await peering.close()
     hub.prober.close()
     if api is not None:
         api.close()
--- a/yarrowspindle/program/metrics.py
+++ b/yarrowspindle/program/metrics.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from yarrowspindle.program.config import MetricsConfig
@@ -25,7 +26,9 @@
     def __init__(self, reducer: Reducer) -> None:
         self.reducer = reducer
         self.counts: Counter[str] = Counter()
-        self.sources: dict[str, Counter[str]] = {}  # counters that others keep, under their names
+        # Counters that others keep, under their names, or who gives them.
+        self.sources: dict[str, Counter[str] | Callable[[], Counter[str]]] = {}
+        self.more_gauges: list[Callable[[], dict[str, float]]] = []
 
     def rebalance(self, rebalancer: Rebalancer | None) -> None:
         if rebalancer is None:
@@ -36,7 +39,8 @@
     def counters(self) -> dict[str, float]:
         found = {name: float(value) for name, value in self.counts.items()}
         for source, counts in self.sources.items():
-            found |= {f"{source}.{name}": float(value) for name, value in counts.items()}
+            kept = counts if isinstance(counts, Counter) else counts()
+            found |= {f"{source}.{name}": float(value) for name, value in kept.items()}
         return found
 
     def event(self, event: Event) -> None:
@@ -57,6 +61,8 @@
         if self.reducer.rebalance is not None:
             gauges = self.reducer.rebalance.gauges(self.reducer.now)
             found |= {f"rebalance.{name}": value for name, value in gauges.items()}
+        for more in self.more_gauges:
+            found |= more()
         return found | {"nodes": float(len(self.reducer.nodes))}
 
 
--- /dev/null
+++ b/yarrowspindle/program/peering.py
@@ -0,0 +1,117 @@
+"""Peers on a real socket: the core's pump on the event loop, its word to the reducer, its figures. Off without
+`[peers]`."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections import Counter
+from collections.abc import Callable
+from math import inf
+
+from loguru import logger
+
+from yarrowspindle.interface import Others
+from yarrowspindle.peers import Peers, PeerSettings
+from yarrowspindle.peers.messages import Came, Leave, Own
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.log import Bounded
+from yarrowspindle.routing.messages import Address, OthersTold
+from yarrowspindle.runtime.peer_pump import PeerPump, own_word
+from yarrowspindle.transport.datagrams import Front
+
+AGAIN_S = 1.0  # an address that is taken is tried again: the process before this one may still have it
+FLUSH_S = 0.02
+
+
+class Peering:
+    """What the others hold reaches the reducer as `OthersTold`; nothing here waits for them, and nothing waits for
+    this."""
+
+    def __init__(self, hub: Hub, settings: PeerSettings) -> None:
+        self.hub, self.settings = hub, settings
+        self.loop = asyncio.get_running_loop()
+        self.front = Front(self._came)
+        self.opening: asyncio.Task[None] | None = None
+        name = settings.name or hub.config.name
+        # Only a hint: where this clock went back, what the others remember of the name corrects it.
+        life = int(time.time() * 1000.0)
+        self.core = Peers(settings, name, life, int.from_bytes(os.urandom(8), "big"), self._now())
+        self.pump = PeerPump(self.core, self._now, self._after, lambda to, data: self.front.send(data, to), self._own,
+                             self._told, self._note)  # fmt: skip
+        self.bounded = Bounded(time.monotonic)
+        self.handles: set[asyncio.TimerHandle] = set()
+        hub.metrics.sources["peers"] = self.counts
+        hub.metrics.more_gauges.append(self.gauges)
+
+    def start(self) -> None:
+        self.opening = self.loop.create_task(self._open())
+
+    async def close(self) -> None:
+        """Leaves in good order."""
+        if self.opening is not None:
+            self.opening.cancel()
+        self.pump.post(Leave())
+        self.pump.close()
+        for handle in self.handles:
+            handle.cancel()
+        await asyncio.sleep(FLUSH_S)
+        if self.front.transport is not None:
+            self.front.transport.close()
+
+    async def _open(self) -> None:
+        said = False
+        while True:
+            try:
+                await self.loop.create_datagram_endpoint(lambda: self.front, local_addr=self.settings.listen)
+                break
+            except OSError as error:
+                if not said:
+                    logger.warning("peers: {}:{} cannot be had yet, jobs are placed by own load meanwhile: {}",
+                                   *self.settings.listen, error)  # fmt: skip
+                said = True
+                await asyncio.sleep(AGAIN_S)
+        logger.info("peers: {} of cluster {} listens at {}:{}, the others reach it at {}:{}", self.core.members.me.name,
+                    self.settings.cluster, *self.settings.listen, *self.settings.reached_at)  # fmt: skip
+        self.pump.start()
+
+    # --- the pump's sides -----------------------------------------------------------------------
+
+    def _now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def _after(self, delay_ms: float, then: Callable[[], None]) -> object:
+        def due() -> None:
+            self.handles.discard(handle)
+            then()
+
+        handle = self.loop.call_later(delay_ms / 1000.0, due)
+        self.handles.add(handle)
+        return handle
+
+    def _came(self, data: bytes, source: Address) -> None:
+        self.pump.post(Came(data, source))
+
+    def _own(self) -> Own:
+        return own_word(self.hub.reducer.balancer.servers.values(), self.hub.runtime.clock.now())
+
+    def _told(self, others: Others) -> None:
+        self.hub.post(OthersTold(others))
+
+    def _note(self, text: str, bounded: bool) -> None:
+        if bounded:
+            self.bounded.warn(f"peers: {text}")
+        else:
+            logger.info("peers: {}", text)
+
+    # --- figures --------------------------------------------------------------------------------
+
+    def counts(self) -> Counter[str]:
+        return self.core.counts + self.core.signals.counts
+
+    def gauges(self) -> dict[str, float]:
+        found = {f"peers.{name}": value for name, value in self.core.gauges().items()}
+        if found["peers.oldest_signal_ms"] == inf:
+            del found["peers.oldest_signal_ms"]
+        return found
--- a/yarrowspindle/replay/sequence.py
+++ b/yarrowspindle/replay/sequence.py
@@ -47,7 +47,7 @@
         messages.JobArrived, messages.SubmitterLeft, messages.OutOfTurn, messages.NodeReached, messages.NodeUp,
         messages.AttemptOver, messages.LoadTold,
         messages.FigureTold, messages.Asked, messages.Answered, messages.ListTold, messages.Woke,
-        messages.Stop, messages.Reloaded, messages.Stalled,
+        messages.Stop, messages.Reloaded, messages.Stalled, messages.OthersTold,
     )
 } | {"Rebalance": RecordedRebalance}  # fmt: skip
 DECODERS = {name: msgspec.json.Decoder(kind) for name, kind in KINDS.items()}
--- a/yarrowspindle/reports.py
+++ b/yarrowspindle/reports.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from math import exp
+from math import exp, inf
 
 from yarrowspindle.books import Job, Server
 from yarrowspindle.interface import Settings
+from yarrowspindle.others import OthersBook
 
 USED, HOLDS = "x0", "rif"  # fields of a load report: load asked over what the server can do, connections held
 KNEE, STEEP = 0.96, 11.0  # half of the messages are late at this use; measured over 24 days, see docs
@@ -18,6 +19,7 @@
 GUESS = 0.5  # the use of a server that has not reported
 AGE_MS = 1000.0  # a report speaks of a time up to so long ago: what was placed since is not in it
 SICK = 9.0  # the use of a server that does not answer
+SINCE_MOST = 256  # placements since a report, one by one
 LEARN, LEARN_UNIT = 0.05, 0.05
 LOAD_LEAST, LOAD_MOST = 0.1, 4.0  # of a class, in mean connections
 SOUND = 1.5  # above this use a report tells of a sick server, not of its connections' load
@@ -26,7 +28,8 @@
 class Estimates:
     """Of all servers, as one balancer sees them."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, others: OthersBook | None = None) -> None:
+        self.others = others or OthersBook(settings.balancers)
         self.unit = UNIT
         self.loads: list[float] = []
         self.counts: list[float] = []  # own connections of each class
@@ -49,7 +52,8 @@
 
     def adds(self, server: Server, job: Job, there: bool = False) -> float:
         """What this connection adds to the server's use, or takes from it where it is `there` already."""
-        alone = self.groups and job.group and server.groups.get(job.group, 0) <= there
+        alone = (self.groups and job.group and server.groups.get(job.group, 0) <= there
+                 and not self.others.group(server, job.group))  # fmt: skip
         return (self.loads[job.cls] + (GROUP if alone else 0.0)) * self.unit / server.capacity
 
     def reserve(self, server: Server, job: Job, now: float) -> None:
@@ -72,6 +76,18 @@
             if not holders:
                 del self.holders[job.group]
 
+    def beside(self, server: Server, came: int, report: tuple[float, float, float] | None, now: float) -> None:
+        """Other balancers' connections came there, or went, each taken for a mean one; and a report that one of them
+        was told (use, connections, when)."""
+        if report is not None:
+            fields = {USED: report[0], HOLDS: report[1]}
+            self.told(server, report[2], tuple(fields.get(name, 0.0) for name in self.report))
+            server.told_at = -inf  # not told to us
+        if came and server.used >= 0.0:
+            if len(server.since) > SINCE_MOST:  # reports have stopped: only the sum is of use
+                server.since = [(now, sum(by for _, by in server.since))]
+            server.since.append((now, came * self.unit / server.capacity))
+
     def told(self, server: Server, now: float, report: tuple[float, ...], silent: bool = False) -> None:
         """A probe's end: a load report, none so far, or silence."""
         if silent:
@@ -80,6 +96,7 @@
             return
         told = dict(zip(self.report, report, strict=False))
         server.used, server.holds = told.get(USED, server.used), told.get(HOLDS, server.holds)
+        server.told_at = now
         server.since = [(at, by) for at, by in server.since if at > now - AGE_MS]
         if HOLDS in told and server.holds >= 1.0 and 0.0 <= server.used < SOUND:
             self._learn(server)
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from yarrowspindle.interface import ListKind, Settings, State
+from yarrowspindle.interface import ListKind, Others, Settings, State
 from yarrowspindle.routing.ending import Ending
 
 if TYPE_CHECKING:  # the platform does without the package
@@ -173,8 +173,16 @@
     report: tuple[float, ...] = ()
 
 
+@dataclass(slots=True)
+class OthersTold:
+    """What other relays hold, where relays hear one another."""
+
+    others: Others
+
+
 Event = (JobArrived | SubmitterLeft | OutOfTurn | NodeReached | NodeUp | AttemptOver | LoadTold | FigureTold
-         | Asked | Answered | ProbeOver | ListTold | Woke | Stop | Rejoin | Retune | Reloaded | Rebalance | Stalled)
+         | Asked | Answered | ProbeOver | ListTold | Woke | Stop | Rejoin | Retune | Reloaded | Rebalance | Stalled
+         | OthersTold)
 
 
 # --- effects ------------------------------------------------------------------------------------
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -37,6 +37,7 @@
     NodeReached,
     NodeUp,
     Note,
+    OthersTold,
     OutOfTurn,
     Probe,
     ProbeOver,
@@ -109,6 +110,7 @@
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
             Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
             Retune: self._retune, ProbeOver: self._probe_over,
+            OthersTold: lambda event: self._tell(event.others),
         }  # fmt: skip
 
     def step(self, now: float, event: Event) -> list[Effect]:
--- /dev/null
+++ b/yarrowspindle/runtime/peer_pump.py
@@ -0,0 +1,85 @@
+"""Drives the core of peers: its effects carried out, its own wakes with the time at which they were due.
+
+The same for real sockets (`program/peering.py`) and for the virtual clock (`lab/model/peering.py`)."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from yarrowspindle.books import Server
+from yarrowspindle.interface import SERVER_KEY, Others, group_key
+from yarrowspindle.peers.core import Peers
+from yarrowspindle.peers.messages import Event, Look, Note, Own, Send, Told, Wake, Woke
+from yarrowspindle.routing.messages import Address
+
+REPORT_MS = 750.0  # own load reports so young are told to the others
+
+
+class PeerPump:
+    """now: milliseconds of a clock that only goes on. after: calls the function after so many milliseconds.
+    own: what this relay holds. told: for the module. note: a text for the log, and whether strangers can cause it."""
+
+    def __init__(self, core: Peers, now: Callable[[], float], after: Callable[[float, Callable[[], None]], object],
+                 send: Callable[[Address, bytes], None], own: Callable[[], Own], told: Callable[[Others], None],
+                 note: Callable[[str, bool], None]) -> None:  # fmt: skip
+        self.core, self.now, self.after, self.send, self.own, self.told, self.note = (
+            core, now, after, send, own, told, note)  # fmt: skip
+        self.queue: deque[Event] = deque()
+        self.busy = self.closed = False
+
+    def start(self) -> None:
+        self._carry_out(self.core.take_effects())
+
+    def post(self, event: Event) -> None:
+        if self.closed:
+            return
+        self.queue.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.queue:
+                self._carry_out(self.core.step(self.now(), self.queue.popleft()))
+        finally:
+            self.busy = False
+
+    def close(self) -> None:
+        self.closed = True
+        self.queue.clear()
+
+    def _carry_out(self, effects: list[Send | Wake | Look | Told | Note]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.send(effect.to, effect.data)
+            elif isinstance(effect, Wake):
+                self._wake(effect)
+            elif isinstance(effect, Look):
+                self.queue.append(self.own())
+                if not self.busy:
+                    self.post(self.queue.pop())
+            elif isinstance(effect, Told):
+                self.told(effect.others)
+            else:
+                self.note(effect.text, effect.bounded)
+
+    def _wake(self, effect: Wake) -> None:
+        due = self.now() + effect.delay_ms
+        self.after(effect.delay_ms, lambda: self.post(Woke(effect.what, due)))
+
+
+def own_word(servers: Iterable[Server], now: float) -> Own:
+    """What this balancer holds, passes over and was told by probes, for the others."""
+    own = Own({})
+    for server in servers:
+        key = server.id & SERVER_KEY
+        if server.open:
+            own.holds[key] = (server.open, server.load)
+            for group, count in server.groups.items():
+                if group:
+                    own.holds[group_key(server.id, group)] = (count, 0.0)
+        if now < server.bad_until:
+            own.passed[key] = server.bad_until - now
+        if now <= server.told_at + REPORT_MS:
+            own.reports[key] = (server.used, server.holds, now - server.told_at)
+    return own
