--- a/yarrowspindle/lab/faults.py
+++ b/yarrowspindle/lab/faults.py
@@ -85,6 +85,8 @@
         at = from_s + drawn.uniform(0.0, for_s - lasts)
         order = list(relays)
         drawn.shuffle(order)
+        if word in ("kill", "stall"):  # not the same relay twice, where there are several
+            order.sort(key=lambda relay: any(relay in f.one for f in faults if f.word in ("kill", "stall")))
         one, other, share, late = tuple[str, ...](), tuple[str, ...](), 1.0, 0.0
         if word in SHARES:
             share = drawn.uniform(*SHARES[word])
--- /dev/null
+++ b/yarrowspindle/lab/processes/world.py
@@ -0,0 +1,429 @@
+"""A run: relays as real processes, everything else here, faults on the wires by a schedule, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
+from yarrowspindle.lab.processes.checker import Checker, Terms
+from yarrowspindle.lab.processes.parties import MachineList, Node, Submitters
+from yarrowspindle.lab.processes.proxy import DatagramProxy, Pipe, TcpProxy, Views
+from yarrowspindle.routing.messages import Address
+
+START_S = 15.0  # a relay that does not serve by then has failed to start
+STOP_S = 6.0
+LOG_MOST = 20_000
+ROOT = Path(__file__).resolve().parents[3]
+SETTINGS: dict[str, Any] = {
+    "azs": ["a", "b"], "skus": ["m"], "discovery": "subscribe", "step_ms": 2.0,
+    "categories": [{"name": "chat", "slo_ms": 800.0, "deadline_ms": 2000.0, "effect": "pure", "group": "all",
+                    "window_ms": 0.0, "points": 1.0, "stream": True}],
+    "realms": [{"name": "acme", "quota_per_s": 5.0, "share": 1.0}],
+    "family_info": {"message_aim_ms": [150.0], "tells_load": True, "tells_delay": True},
+    "limits": {"max_attempts": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0,
+               "connect_timeout_ms": 250.0, "probing": True},
+}  # fmt: skip
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """settle_s: before the faults; faults_s: in which they lie; after_s: after the last of them."""
+
+    relays: int = 5
+    nodes: int = 6
+    submitters: int = 200
+    seed: int = 1
+    words: tuple[str, ...] = ("loss", "cut", "kill", "stall")
+    settle_s: float = 3.0
+    faults_s: float = 6.0
+    after_s: float = 5.0
+    life_s: float = 6.0
+    deadline_s: float = 2.0
+    stall_s: float = 3.0
+    peers: bool = True
+    nodes_change: bool = True  # one node drains, ends, and comes back cold
+    agree_s: float = 12.0  # after the faults by when members agree
+
+    @property
+    def terms(self) -> Terms:
+        # A node carries twice its share of what stands.
+        return Terms(capacity=2.0 * self.submitters / max(self.nodes, 1))
+
+
+@dataclass(slots=True)
+class Report:
+    run: Run
+    schedule: list[Fault]
+    broken: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    agreed_s: float = -1.0  # after the faults; below 0: they never did
+    datagrams: Counter[str] = field(default_factory=Counter)
+    cold_worst: float = 0.0
+    served: float = 0.0
+    wait_p99_ms: float = 0.0
+    log: dict[str, list[str]] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        lines = [f"seed {self.run.seed}: {self.run.relays} relays, {self.run.nodes} nodes, "
+                 f"{self.run.submitters} submitters, faults {', '.join(self.run.words) or 'none'}"]  # fmt: skip
+        lines += [f"  {fault}" for fault in self.schedule]
+        lines += [f"BROKEN: {rule}" for rule in self.broken]
+        counts = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
+        lines.append(f"  {counts}")
+        sent = ", ".join(f"{name} {count}" for name, count in sorted(self.datagrams.items()))
+        agreed = f"{self.agreed_s:.1f} s after the faults" if self.agreed_s >= 0.0 else "not"
+        lines.append(f"  served {self.served:.3f} of what was wanted, answers within {self.wait_p99_ms:.0f} ms (99 %), "
+                     f"cold nodes at most {self.cold_worst:.2f} times what fills them")  # fmt: skip
+        lines.append(f"  datagrams: {sent or 'none'}; members agreed {agreed}")
+        return "\n".join(lines)
+
+
+class Relay:
+    """One relay's process, as often as it is started."""
+
+    def __init__(self, name: str, index: int, world: World) -> None:
+        self.name, self.index, self.world = name, index, world
+        self.client = world.address(index)
+        self.inside, self.outside = world.address(index), world.address(index)  # for peers: its own, and the proxy's
+        self.discovery = world.address(index)
+        self.process: asyncio.subprocess.Process | None = None
+        self.reading: asyncio.Task[None] | None = None
+        self.log: list[str] = []
+        self.serves = asyncio.Event()
+        self.lives = 0
+        self.stopped = False
+
+    @property
+    def up(self) -> bool:
+        return self.serves.is_set() and self.process is not None and self.process.returncode is None
+
+    def write(self) -> dict[str, str]:
+        run, world, folder = self.world.run, self.world, self.world.folder
+        terms = run.terms
+        settings = SETTINGS | {
+            "zone": self.index % 2, "slot_no": self.index, "balancers": run.relays,
+            "obligations": {"drain_grace_ms": 1000.0 * terms.grace_s, "answer_slack_ms": 50.0, "ask_within_ms": 200.0,
+                            "cold_share": terms.cold_share, "cold_ms": 1000.0 * terms.cold_s,
+                            "fall_multiple": terms.fall_multiple, "fall_ms": 1000.0 * terms.fall_s},
+        }  # fmt: skip
+        config = {"name": self.name, "listen": text_of(self.client), "discovery": text_of(self.discovery),
+                  "seed": f"{run.seed * 1000 + self.index * 10 + self.lives:x}", "settings": settings,
+                  "known": world.list.whole(self.name) | {"revision": 1}, "limits": {"sockets": 0}}  # fmt: skip
+        config_file, operator_file = folder / f"{self.name}.json", folder / f"{self.name}.toml"
+        config_file.write_text(json.dumps(config))
+        seeds = ", ".join(f'"{text_of(relay.outside)}"' for relay in world.relays[:2])
+        operator_file.write_text(
+            f'[peers]\nlisten = "{text_of(self.inside)}"\nadvertise = "{text_of(self.outside)}"\n'
+            f'seeds = [{seeds}]\ncluster = "lab-{run.seed}"\n' if run.peers else "")  # fmt: skip
+        return {"ROUTER_CONFIG": str(config_file), "YARROWSPINDLE_OPERATOR": str(operator_file)}
+
+    async def start(self) -> None:
+        self.lives += 1
+        self.serves.clear()
+        told = self.write()
+        env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")} | told
+        self.world.checker.relay_started(self.name)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.DEVNULL)  # fmt: skip
+        self.reading = asyncio.ensure_future(self._read(self.process))
+        serving = asyncio.ensure_future(self.serves.wait())
+        await asyncio.wait([serving, self.reading], timeout=START_S, return_when=asyncio.FIRST_COMPLETED)
+        serving.cancel()
+        if not self.up:
+            self.world.checker.note("starts", f"{self.name} does not serve")
+        else:
+            self.world.checker.wakes(self.name)
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := (await process.stderr.readline()).decode("utf-8", "replace").rstrip():
+            if len(self.log) < LOG_MOST:
+                self.log.append(f"{self.world.now():7.3f} {line}")
+            if "serves at" in line:
+                self.serves.set()
+            if "Traceback" in line:
+                self.world.checker.note("no failure", f"{self.name} logged a traceback")
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        self.world.checker.sleeps(self.name)
+        self.serves.clear()
+        self.send(signal.SIGKILL)
+        await self.ended()
+
+    async def ended(self) -> None:
+        if self.process is not None:
+            await self.process.wait()
+        if self.reading is not None:
+            await self.reading
+
+    def pause(self) -> None:
+        self.world.checker.sleeps(self.name)
+        self.stopped = True
+        self.send(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.stopped = False
+        self.send(signal.SIGCONT)
+        self.world.checker.wakes(self.name)
+
+    async def restart(self, wait_s: float) -> None:
+        """Asked to end: it moves its submitters, and must not lose one."""
+        self.serves.clear()  # the front sends nobody here any more
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.ended(), STOP_S)
+        except TimeoutError:
+            self.world.checker.note("ends", f"{self.name} was asked to end {STOP_S:g} s ago")
+            await self.kill()
+        self.world.checker.sleeps(self.name)
+        await asyncio.sleep(wait_s)
+        await self.start()
+
+
+class World:
+    def __init__(self, run: Run, folder: Path) -> None:
+        self.run, self.folder = run, folder
+        self.started = time.monotonic()
+        self.random = Random(f"world {run.seed}")
+        self.checker = Checker(self.now, run.terms)
+        self.ways = Ways(run.seed)
+        # A net of loopback of its own, so that runs side by side do not meet.
+        self.net = f"127.{64 + os.getpid() % 128}.{1 + run.seed % 250}"
+        self.used: set[Address] = set()
+        self.nodes = {f"n{n}": Node(f"n{n}", self.address(100 + n), Random(f"node {run.seed} {n}"), run.life_s)
+                      for n in range(run.nodes)}  # fmt: skip
+        self.node_doors: dict[tuple[str, str], Address] = {}
+        self.list = MachineList(self.nodes, lambda relay, node: self.node_doors[relay, node])
+        self.relays = [Relay(name, n, self) for n, name in enumerate(relay_names(run.relays))]
+        self.proxies: list[TcpProxy] = []
+        self.datagram_proxies: list[DatagramProxy] = []
+        self.datagrams: Counter[str] = Counter()
+        self.views = Views()
+        self.submitters = Submitters(self.checker, self.front, Random(f"submitters {run.seed}"), run.deadline_s)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def now(self) -> float:
+        return time.monotonic() - self.started
+
+    def address(self, last: int) -> Address:
+        """A port of this net that nobody has."""
+        while True:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((f"{self.net}.{1 + last}", 0))
+                found: Address = tcp.getsockname()
+                try:
+                    udp.bind(found)
+                except OSError:
+                    continue
+            if found not in self.used:
+                self.used.add(found)
+                return found
+
+    def front(self) -> tuple[str, Address] | None:
+        """Deals connections out among the relays that serve; it takes some time to find out that one is dead."""
+        serving = [relay for relay in self.relays if relay.up]
+        if not serving:
+            return None
+        relay = serving[int(self.random.random() * len(serving))]
+        return relay.name, relay.client
+
+    # --- the wires ------------------------------------------------------------------------------
+
+    async def open(self) -> None:
+        parties = {relay.inside: relay.name for relay in self.relays}
+        for relay in self.relays:
+            proxy = DatagramProxy(relay.name, relay.inside, parties, self.ways, self._datagram)
+            await proxy.open(relay.outside)
+            self.datagram_proxies.append(proxy)
+            for node in self.nodes.values():
+                door = self.node_doors[relay.name, node.name] = self.address(relay.index)
+                tcp = TcpProxy(relay.name, node.name, node.address, self.ways)
+                tcp.hears, tcp.ended = self._heard, self._given_up
+                await tcp.open(door)
+                self.proxies.append(tcp)
+            inside = self.address(90)
+            await self.list.open(relay.name, inside)
+            watch = TcpProxy(relay.name, "list", inside, self.ways)
+            watch.said = self._list_said
+            await watch.open(relay.discovery)
+            self.proxies.append(watch)
+        for node in self.nodes.values():
+            await node.open()
+
+    def _datagram(self, source: str, target: str, data: bytes, copies: int) -> None:
+        self.datagrams["sent"] += 1
+        self.datagrams["bytes"] += len(data)
+        self.datagrams["lost" if copies == 0 else "doubled" if copies > 1 else "passed"] += 1
+        view = self.views.of(data)
+        if view is not None and source != "stranger":
+            self.checker.viewed(source, view)
+
+    def _heard(self, pipe: Pipe, line: bytes) -> None:
+        if not pipe.job and line.startswith(b"OPEN "):
+            pipe.job = line.split(b" ")[1].decode("ascii", "replace")
+            self.checker.sent(pipe.proxy.source, pipe.proxy.target, pipe.job, pipe)
+
+    def _given_up(self, pipe: Pipe) -> None:
+        if pipe.job:
+            self.checker.given_up(pipe.job, pipe)
+
+    def _list_said(self, pipe: Pipe, data: bytes) -> None:
+        """What a relay was told counts from when it was written to it."""
+        for line in data.split(b"\n"):
+            if line.startswith(b"{"):
+                try:
+                    told = json.loads(line)
+                except ValueError:
+                    continue
+                names = set()
+                for member in told["members"]:
+                    names.add(member["id"])
+                    self.checker.told(pipe.proxy.source, member["id"], member["phase"] == "ready")
+                if told["complete"]:
+                    for name in self.nodes.keys() - names:
+                        self.checker.told(pipe.proxy.source, name, False)
+
+    # --- the course of a run --------------------------------------------------------------------
+
+    async def inflict(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        relay = next((relay for relay in self.relays if fault.one == (relay.name,)), self.relays[0])
+        if fault.word == "kill":
+            await relay.kill()
+            await asyncio.sleep(fault.for_s)
+            await relay.start()
+        elif fault.word == "stall":
+            relay.pause()
+            try:
+                await asyncio.sleep(fault.for_s)
+            finally:
+                relay.go_on()
+        elif fault.word == "restart":
+            for one in self.relays:
+                await one.restart(0.1)
+        else:
+            self.ways.start(fault)
+            try:
+                await asyncio.sleep(fault.for_s)
+            finally:
+                self.ways.end(fault)
+
+    async def change_nodes(self) -> None:
+        """One node drains, ends, and comes back cold while the faults last."""
+        node = self.nodes[f"n{self.run.seed % self.run.nodes}"]
+        await asyncio.sleep(0.1 * self.run.faults_s)
+        self.list.tell(node, "draining")
+        await asyncio.sleep(max(0.25 * self.run.faults_s, 1.0))
+        self.list.tell(node, "gone")
+        node.die()
+        await asyncio.sleep(0.1 * self.run.faults_s)
+        await node.open()
+        node.started_ms = time.time() * 1000.0
+        self.checker.started(node.name)
+        self.list.tell(node, "ready")
+
+    async def sample(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            self.submitters.wanted += self.run.submitters
+            self.submitters.stood += len(self.submitters.up)
+
+    async def agreed(self) -> float:
+        """How long after the faults all relays' digests of members are the same, and stay so for a second."""
+        began = same = self.now()
+        names = [relay.name for relay in self.relays]
+        while self.now() < began + self.run.agree_s:
+            await asyncio.sleep(0.1)
+            if not self.checker.agree(names, max(began, self.now() - 3.0)):
+                same = self.now()
+            elif self.now() >= same + 1.0:
+                return max(0.0, same - began)
+        return -1.0
+
+    async def close(self) -> None:
+        await self.submitters.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for relay in self.relays:
+            if relay.stopped:
+                relay.go_on()
+            relay.send(signal.SIGKILL)
+        await asyncio.gather(*(relay.ended() for relay in self.relays))
+        for proxy in self.proxies:
+            proxy.close()
+        for datagram_proxy in self.datagram_proxies:
+            datagram_proxy.close()
+        self.list.close()
+        for node in self.nodes.values():
+            node.die()
+        await asyncio.sleep(0.15)  # what passed between them ends by itself
+
+
+@asynccontextmanager
+async def opened(run: Run, folder: Path | None = None) -> AsyncIterator[World]:
+    """All parties stand and all relays serve."""
+    with tempfile.TemporaryDirectory(prefix="yarrowspindle-lab-") as temporary:
+        world = World(run, folder or Path(temporary))
+        try:
+            await world.open()
+            await asyncio.gather(*(relay.start() for relay in world.relays))
+            yield world
+        finally:
+            await world.close()
+
+
+async def play(run: Run, faults: list[Fault] | None = None, folder: Path | None = None) -> Report:
+    """One run, from the start of the relays to their end."""
+    if faults is None:
+        faults = schedule(run.words, relay_names(run.relays), [f"n{n}" for n in range(run.nodes)], run.seed, 0.0,
+                          run.faults_s, run.stall_s)  # fmt: skip
+    report = Report(run, faults)
+    async with opened(run, folder) as world:
+        world.submitters.start(run.submitters, run.settle_s / 2.0)
+        await asyncio.sleep(run.settle_s)
+        world.tasks.append(asyncio.ensure_future(world.sample()))
+        inflicted = [asyncio.ensure_future(world.inflict(fault)) for fault in faults]
+        world.tasks += inflicted
+        if run.nodes_change:
+            inflicted.append(asyncio.ensure_future(world.change_nodes()))
+            world.tasks.append(inflicted[-1])
+        if inflicted:
+            await asyncio.gather(*inflicted)
+        ended = world.now()
+        if run.peers:
+            report.agreed_s = await world.agreed()
+            if report.agreed_s < 0.0:
+                world.checker.note("members agree", f"not within {run.agree_s:g} s after the faults")
+        await asyncio.sleep(max(0.0, run.after_s - (world.now() - ended)))
+        checker = world.checker
+        report.broken, report.counts, report.datagrams = checker.broken, checker.counts, world.datagrams
+        report.cold_worst = max((cold.worst for cold in checker.cold.values()), default=0.0)
+        report.served = world.submitters.stood / max(world.submitters.wanted, 1.0)
+        waits = sorted(checker.waits)
+        report.wait_p99_ms = 1000.0 * waits[int(0.99 * (len(waits) - 1))] if waits else 0.0
+        report.log = {relay.name: relay.log for relay in world.relays}
+    return report
+
+
+def text_of(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
