Seal datagrams with a CRC, and hold members and signals to their rules on the virtual clock

Lines at fault: codec.py took any text as a host, peering.py sent without a guard. Now each datagram carries the CRC-32 of what it seals, hosts have a form, and an address that cannot be sent to is counted.

--- /dev/null
+++ b/tests/test_peers_virtual.py
@@ -0,0 +1,206 @@
+"""The hard cases of members and signals, on the virtual clock; each with the core and the pump that the daemon runs."""
+
+from __future__ import annotations
+
+import pytest
+
+from yarrowspindle.lab.faults import WORDS, Fault, FaultError, Ways, read_words, relay_names, schedule
+from yarrowspindle.lab.model.members import Relays, play_members
+from yarrowspindle.lab.model.peering import address_of
+from yarrowspindle.peers.messages import Came
+
+SETS = (("loss", "stall"), ("split", "loss"), ("cut", "kill"), ("oneway", "double", "reorder"), ("lost", "late"),
+        ("corrupt", "kill", "stall"), ("old",), ("mute",), ("restart", "loss"))  # fmt: skip
+
+
+def started(relays: int, seed: int = 1) -> Relays:
+    world = Relays(relays, seed)
+    for index in range(relays):
+        world.start(index)
+    world.run(4.0)
+    assert world.agree() and world.true_sums()
+    return world
+
+
+def fault(world: Relays, word: str, for_s: float, one: str, other: str = "") -> None:
+    named = Fault(word, 0.0, for_s, 1.0, 0.0, tuple(one.split()), tuple(other.split()))
+    world.net.apply([named], world.kill, world.start)
+    world.run(for_s + 0.001)
+
+
+@pytest.mark.parametrize("words", SETS)
+def test_all_agree_again_after_the_faults_on_members_and_sums(words: tuple[str, ...]) -> None:
+    for seed in range(3):
+        day = play_members((3, 5, 9)[seed % 3], seed, words)
+        assert 0.0 <= day.agreed_s <= 15.0, f"seed {seed}: {[str(f) for f in day.faults]}"
+
+
+def test_a_failing_seed_replays_exactly() -> None:
+    days = [play_members(5, 42, ("loss", "stall", "reorder")) for _ in range(2)]
+    assert (days[0].bytes, days[0].datagrams, days[0].agreed_s) == (days[1].bytes, days[1].datagrams, days[1].agreed_s)
+
+
+def test_a_cut_one_way_between_two_ends_nobody() -> None:
+    """The others still reach it, and say so."""
+    world = started(5)
+    fault(world, "oneway", 15.0, "r0", "r3")
+    assert all(peer.core.counts["dead"] == 0 for peer in world.net.peers.values()) and world.agree()
+
+
+@pytest.mark.parametrize(("relays", "one", "other"), [(5, "r0 r1", "r2 r3 r4"), (2, "r0", "r1")])
+def test_a_partition_is_two_fleets_and_heals(relays: int, one: str, other: str) -> None:
+    world = started(relays)
+    fault(world, "split", 20.0, one, other)
+    for side in (one.split(), other.split()):
+        for name in side:
+            assert world.net.peers[int(name[1:])].core.members.names == side
+            assert world.others[int(name[1:])].heard == len(side) - 1, "the other side's part is gone"
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 10.0)
+
+
+def test_who_stood_still_for_ten_seconds_accuses_nobody_and_is_back() -> None:
+    world = started(5)
+    before = {i: peer.core.counts["suspicions"] for i, peer in world.net.peers.items()}
+    fault(world, "stall", 10.0, "r2")
+    world.run(1.5)
+    assert world.net.peers[2].core.counts["stood"] >= 1
+    assert world.net.peers[2].core.counts["suspicions"] == before[2], "it distrusts itself first"
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 5.0)
+
+
+def test_the_part_of_a_killed_relay_is_gone_within_five_seconds() -> None:
+    for seed in range(20):
+        world = started(5, seed)
+        for node in range(1, 13):  # half of all that is held
+            world.holds[1][node] = (20, 2000.0)
+        world.run(1.0)
+        world.kill(1)
+        assert 0.0 <= world.until(world.true_sums, 5.0), f"seed {seed}"
+
+
+def test_one_that_leaves_is_gone_at_once_and_nobody_is_suspected() -> None:
+    world = started(5)
+    world.net.peers[3].leave()
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 0.5)
+    assert all(peer.core.counts["suspicions"] == 0 for peer in world.net.peers.values())
+
+
+def test_a_hundred_started_in_one_second_find_one_another_with_bounded_bytes() -> None:
+    world = Relays(100, 3, held=2)
+    for index in range(100):
+        world.clock.after(10.0 * index, world.start, index)
+    world.run(1.0)
+    before = world.net.bytes
+    assert 0.0 <= world.until(world.agree, 10.0)
+    assert (world.net.bytes - before) / 100 / max(world.clock.seconds - 1.0, 1.0) < 100_000.0
+
+
+def test_all_restart_one_after_the_other_as_new_lives() -> None:
+    world = started(5)
+    lives = [peer.core.members.me.life for peer in world.net.peers.values()]
+    fault(world, "restart", 10.0, "")
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 5.0)
+    assert all(peer.core.members.me.life > life for peer, life in zip(world.net.peers.values(), lives, strict=True))
+
+
+def test_late_and_doubled_word_from_an_earlier_life_moves_nothing() -> None:
+    world = started(3)
+    heard: list[bytes] = []
+    target = world.net.peers[0]
+    came = target.came
+
+    def listen(data: bytes, source: tuple[str, int]) -> None:
+        heard.append(data)
+        came(data, source)
+
+    target.came = listen  # type: ignore[method-assign]
+    world.run(2.0)
+    target.came = came  # type: ignore[method-assign]
+    world.kill(1)
+    world.run(0.2)
+    world.start(1)
+    world.holds[1] = {1: (1, 1.0)}
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 5.0)
+    for data in heard * 3:
+        world.net.peers[0].pump.post(Came(data, address_of(1)))
+    assert target.core.counts["dropped_earlier_life"] > 0 and target.core.signals.counts["signals_old"] > 0
+    world.run(0.5)
+    assert world.agree() and world.true_sums()
+
+
+def test_old_word_counts_for_nothing_and_stays_so_while_it_is_old() -> None:
+    """Each datagram takes 5 s; nothing looks older to who only counts from its arrival."""
+    world = started(3)
+    world.net.ways.start(Fault("old", 0.0, 60.0, 1.0, 5000.0))
+    world.run(12.0)
+    for _ in range(40):
+        world.run(0.5)
+        assert all(others.heard == 0 for others in world.others.values())
+
+
+def test_seeds_that_answer_nobody_are_asked_on_and_bounded() -> None:
+    world = Relays(1, 1)
+    world.start(0)
+    world.run(60.0)
+    peer = world.net.peers[0]
+    assert peer.core.members.size == 1 and 10 < peer.core.counts["sent"] < 60
+    assert 0 not in world.others, "the module is not told of nobody"
+
+
+def test_a_name_taken_twice_is_the_later_one_s_and_comes_back_to_the_first() -> None:
+    world = started(3)
+    world.net.names[7] = "r1"
+    world.holds += [{}] * 5
+    world.start(7)
+    world.run(8.0)
+    first, later = world.net.peers[1], world.net.peers[7]
+    assert first.core.members.displaced and not later.core.members.displaced
+    assert sum("has the name r1" in text for _, text in first.log) == 1
+    assert world.net.peers[0].core.members.table["r1"].address == address_of(7)
+    later.die()
+    del world.net.peers[7]
+    assert 0.0 <= world.until(lambda: not first.core.members.displaced and world.agree(), 20.0)
+
+
+def test_a_flood_from_a_stranger_costs_the_members_nothing() -> None:
+    world = started(3)
+    target = world.net.peers[0]
+    for _ in range(200):
+        for _ in range(50):
+            target.came(b"x" * 900, ("10.9.9.9", 1))
+        world.run(0.025)
+    counts = target.core.counts
+    assert counts["dropped_flood"] + counts["dropped_nonsense"] == 10_000 and counts["dropped_flood"] >= 4000
+    assert world.agree() and world.true_sums() and counts["dead"] == 0
+
+
+def test_relays_with_different_lists_tell_what_they_hold_all_the_same() -> None:
+    world = started(3)
+    world.holds[0] = {901: (3, 30.0)}  # a node that the others' lists do not have yet
+    world.run(1.0)
+    assert world.told[1][901] == world.told[2][901] == (3, 30.0)
+
+
+def test_words_are_checked_and_a_schedule_is_the_same_for_the_same_seed() -> None:
+    with pytest.raises(FaultError, match="'los' is no fault"):
+        read_words("los,cut")
+    names = relay_names(5)
+    drawn = [schedule(list(WORDS), names, ["n0"], 9, 1.0, 6.0) for _ in range(2)]
+    assert drawn[0] == drawn[1] and len(drawn[0]) == len(WORDS)
+    assert all(1.0 <= f.at_s and f.ends_s <= 7.01 for f in drawn[0])
+    kill, stall = (next(f for f in drawn[0] if f.word == word) for word in ("kill", "stall"))
+    assert kill.one != stall.one
+
+
+def test_a_pair_s_fate_does_not_hang_on_the_others_traffic() -> None:
+    def fates(noise: bool) -> list[int]:
+        ways = Ways(4)
+        ways.start(Fault("loss", 0.0, 9.0, 0.4))
+        found = []
+        for _ in range(50):
+            if noise:
+                ways.fate("r2", "r3", b"x")
+            found.append(len(ways.fate("r0", "r1", b"x")))
+        return found
+
+    assert fates(False) == fates(True) and 10 < sum(fates(False)) < 45
--- a/yarrowspindle/lab/processes/__init__.py
+++ b/yarrowspindle/lab/processes/__init__.py
@@ -1,5 +1,5 @@
-"""Several real processes of the program on loopback, with faults put between them from a seed, and a checker that sees only
-wires and clients: `python -m yarrowspindle.lab.processes --help`."""
+"""Several real processes of the program on loopback, with faults put between them from a seed, and a checker that
+sees only wires and clients: `python -m yarrowspindle.lab.processes --help`."""
 
 from yarrowspindle.lab.processes.world import Report, Run, play
 
--- a/yarrowspindle/lab/processes/checker.py
+++ b/yarrowspindle/lab/processes/checker.py
@@ -1,7 +1,7 @@
 """The rules, held by what passes on wires and what clients hear; nothing here looks into a relay.
 
-What happened to a relay's process (killed, stopped, asked to end) is known too: those are the checker's own doing. A promise
-that needs a relay awake is not held against it for the time in which it was stopped.
+What happened to a relay's process (killed, stopped, asked to end) is known too: those are the checker's own doing. A
+promise that needs a relay awake is not held against it for the time in which it was stopped.
 """
 
 from __future__ import annotations
@@ -52,7 +52,8 @@
         self.now, self.terms = now, terms
         self.broken: list[str] = []
         self.counts: Counter[str] = Counter()
-        self.attempts: dict[str, set[object]] = {}  # job -> its attempts that are out, as the relay's side of the wire shows
+        # job -> its attempts that are out, as the relay's side of the wire shows
+        self.attempts: dict[str, set[object]] = {}
         self.drained: dict[tuple[str, str], float] = {}  # relay, node -> when the relay was told
         self.cold: dict[str, Cold] = {}
         self.asleep: dict[str, list[list[float]]] = {}  # relay -> from when to when it was stopped, or dead
@@ -168,7 +169,8 @@
         most = terms.fall_multiple * fills
         cold.worst = max(cold.worst, len(cold.sent) / fills)
         if len(cold.sent) > most + CHANCE * sqrt(most):
-            self.note("cold", f"{node} was sent {len(cold.sent)} connections in {terms.fall_s:g} s, of which {fills:.1f} "
+            came = f"{node} was sent {len(cold.sent)} connections in {terms.fall_s:g} s"
+            self.note("cold", f"{came}, of which {fills:.1f} "
                               f"fill it and {most:.1f} are allowed")  # fmt: skip
 
     # --- members, as datagrams show them ----------------------------------------------------------
--- a/yarrowspindle/lab/processes/proxy.py
+++ b/yarrowspindle/lab/processes/proxy.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from yarrowspindle.lab.faults import Ways
-from yarrowspindle.peers.codec import Ack, Datagram, Ping
+from yarrowspindle.peers.codec import Ack, Datagram, Ping, Sealed
 from yarrowspindle.routing.messages import Address
 
 CONNECTIONS_MOST = 4096
@@ -18,8 +18,8 @@
 
 
 class DatagramProxy(asyncio.DatagramProtocol):
-    """The address at which the others reach one relay. Who sends is told by the address that it listens at, which is the
-    one that it sends from."""
+    """The address at which the others reach one relay. Who sends is told by the address that it listens at, which is
+    the one that it sends from."""
 
     def __init__(self, target: str, inside: Address, parties: dict[Address, str], ways: Ways,
                  seen: Callable[[str, str, bytes, int], None]) -> None:  # fmt: skip
@@ -62,11 +62,11 @@
     """The digest of members that a datagram's sender has, where it says so."""
 
     def __init__(self) -> None:
-        self.decode = msgspec.msgpack.Decoder(Datagram).decode
+        self.unseal, self.decode = msgspec.msgpack.Decoder(Sealed).decode, msgspec.msgpack.Decoder(Datagram).decode
 
     def of(self, data: bytes) -> int | None:
         try:
-            body = self.decode(data).body
+            body = self.decode(bytes(self.unseal(data).datagram)).body
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
             return None
         return body.view if isinstance(body, Ping | Ack) else None
@@ -86,8 +86,8 @@
 class TcpProxy:
     """The address at which one party (a relay) reaches another (a node, the machine list).
 
-    While the way is cut, connections that stand are silent, both ways and for good; new ones never come up. `hears` is given
-    each whole line from the relay; `ended` the end of the relay's side; `said` what reached the relay."""
+    While the way is cut, connections that stand are silent, both ways and for good; new ones never come up. `hears`
+    is given each whole line from the relay; `ended` the end of the relay's side; `said` what reached the relay."""
 
     def __init__(self, source: str, target: str, inside: Address, ways: Ways) -> None:
         self.source, self.target, self.inside, self.ways = source, target, inside, ways
--- a/yarrowspindle/peers/codec.py
+++ b/yarrowspindle/peers/codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from zlib import crc32
 
 import msgspec
 from msgspec import Meta, Struct
@@ -17,7 +18,7 @@
 VERSION = 1
 MOST = 1200  # bytes of a datagram
 Name = Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
-Host = Annotated[str, Meta(max_length=15)]
+Host = Annotated[str, Meta(max_length=15, pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$")]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 Number = Annotated[int, Meta(ge=0, lt=1 << 53)]
 Flat = Annotated[list[Annotated[int, Meta(ge=0, lt=1 << 32)]], Meta(max_length=1200)]
@@ -123,6 +124,14 @@
         return self.host, self.port
 
 
+class Sealed(Struct, array_like=True, frozen=True):
+    """A datagram as it is sent, with its CRC-32: some networks change bytes past UDP's own sum, and what the fault
+    network changed must not be taken for figures."""
+
+    check: Annotated[int, Meta(ge=0, lt=1 << 32)]
+    datagram: msgspec.Raw
+
+
 class _Head(Struct, array_like=True, frozen=True):
     """The start of a datagram of any version."""
 
@@ -133,17 +142,29 @@
 class Codec:
     def __init__(self, cluster: str) -> None:
         self.cluster = cluster
-        self.encode = msgspec.msgpack.Encoder().encode
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._unseal = msgspec.msgpack.Decoder(Sealed).decode
         self._decode = msgspec.msgpack.Decoder(Datagram).decode
         self._head = msgspec.msgpack.Decoder(_Head).decode
 
+    def encode(self, datagram: Datagram) -> bytes:
+        inner = self._encode(datagram)
+        return self._encode(Sealed(crc32(inner), msgspec.Raw(inner)))
+
     def decode(self, data: bytes) -> Datagram:
         if len(data) > MOST:
             raise Dropped("too long")
         try:
-            datagram = self._decode(data)
+            sealed = self._unseal(data)
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+            raise Dropped("nonsense") from None
+        inner = bytes(sealed.datagram)
+        if crc32(inner) != sealed.check:
+            raise Dropped("corrupt")
+        try:
+            datagram = self._decode(inner)
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
-            raise Dropped(self._why(data)) from None
+            raise Dropped(self._why(inner)) from None
         if datagram.version != VERSION:
             raise Dropped("another version")
         if datagram.cluster != self.cluster:
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -185,13 +185,9 @@
         me = self.members.me
         if datagram.address == me.address and datagram.life == me.life:
             return  # our own word, sent back to us
-        was = self.members.displaced
         self._rumour(Rumour(datagram.name, datagram.host, datagram.port, datagram.life, datagram.turn, ALIVE))
         if not self.members.displaced:
             self._send(datagram.address, Tell(), [me.rumour()])
-        elif not was:
-            self.effects.append(Note(f"another relay at {datagram.host}:{datagram.port} has the name {me.name}, and "
-                                     "started later: this one is silent towards the others until that one has ended"))
 
     def _behind(self, member: Member, datagram: Datagram) -> None:
         """The sender does not know what is said of it: it must, to object."""
@@ -235,6 +231,7 @@
 
     def _ping(self, member: Member, datagram: Datagram, ping: Ping) -> None:
         if ping.to == self.members.me.name:
+            self.members.displaced = False  # it has us under our name
             self._send(datagram.address, Ack(ping.number, self.members.view, ping.to), first=datagram.name)
             self._compare(member, ping.view)
 
@@ -343,6 +340,8 @@
         known = {member.address for member in self.members if member.here}
         lost = [member.address for member in self.members if member.state == DEAD]
         lost += [seed for seed in self.settings.seeds if seed not in known and seed not in lost]
+        if self.members.displaced:  # who knows what became of the process that took our name?
+            lost = [member.address for member in self._there()]
         if lost:
             self._send(self.random.choice(lost), Tell(), [self.members.me.rumour()])
 
--- a/yarrowspindle/peers/detector.py
+++ b/yarrowspindle/peers/detector.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from math import log, log10
 
-HEALTH_MOST = 8
+HEALTH_MOST = 4  # probes at the slowest five times as rare: trust is back within 8 s of answers
 HELPERS = 3
 SUSPICION_MOST = 3.0  # times the shortest suspicion, where nobody else shares it
 DIRECT_PART = 0.4  # of a probe's time; the rest is for the helpers
--- a/yarrowspindle/peers/members.py
+++ b/yarrowspindle/peers/members.py
@@ -149,6 +149,7 @@
         gone = min((m for m in self.table.values() if not m.here), key=lambda m: m.since, default=None)
         if gone is not None:
             del self.table[gone.name]
+            self.rumours.pop(gone.name, None)
         return gone is not None
 
     def forget(self, before: float) -> None:
--- a/yarrowspindle/program/peering.py
+++ b/yarrowspindle/program/peering.py
@@ -38,7 +38,7 @@
         # Only a hint: where this clock went back, what the others remember of the name corrects it.
         life = int(time.time() * 1000.0)
         self.core = Peers(settings, name, life, int.from_bytes(os.urandom(8), "big"), self._now())
-        self.pump = PeerPump(self.core, self._now, self._after, lambda to, data: self.front.send(data, to), self._own,
+        self.pump = PeerPump(self.core, self._now, self._after, self._send, self._own,
                              self._told, self._note)  # fmt: skip
         self.bounded = Bounded(time.monotonic)
         self.handles: set[asyncio.TimerHandle] = set()
@@ -90,6 +90,12 @@
         self.handles.add(handle)
         return handle
 
+    def _send(self, to: Address, data: bytes) -> None:
+        try:
+            self.front.send(data, to)
+        except (OSError, ValueError):  # no address to send to, or no way: as good as lost
+            self.core.counts["unsendable"] += 1
+
     def _came(self, data: bytes, source: Address) -> None:
         self.pump.post(Came(data, source))
 
