--- /dev/null
+++ b/benchmarks/signals.py
@@ -0,0 +1,240 @@
+"""Relays that hear one another, against the same fleet without, and with true sums known at once.
+
+    python -m benchmarks.signals [--seed N] [--size small|machine|large] [--json]
+
+The figure of a fleet is the share of the worth that is served, less the price of crossings between zones; `closed` is
+the part of the way from off to bound. A rule on it counts as broken where it is missed by more than two standard errors
+of the seeds. `large`: 200 relays and 2,000 nodes in virtual time, bytes and processor time a relay.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import socket
+import sys
+import time
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from math import sqrt
+from statistics import fmean, stdev
+from typing import Any
+
+from benchmarks.common import finish, options
+from yarrowspindle.lab.faults import Fault
+from yarrowspindle.lab.model import BrokenRule, Fleet, FleetSpec
+from yarrowspindle.lab.model.deployments import ASKED, PROBED
+from yarrowspindle.lab.model.members import Relays, play_members
+
+FILLED, RUN_S = 0.75, 30.0
+BASES = {"asked": replace(ASKED, by_own_load=True), "probed": PROBED}  # the daemon always judges by own load too
+WAYS = ("off", "on", "loss 0.3", "bound")
+SEEDS = {"small": {3: (16, 6), 10: (10, 5)}, "machine": {3: (80, 40), 10: (40, 24), 40: (10, 8)}, "large": {}}
+MEMBER_SEEDS = {"small": 60, "machine": 1000, "large": 200}
+COST = {"small": (10, 100), "machine": (40, 400), "large": (200, 2000)}
+COST_S = 12.0
+CLOSED, CLOSED_LOSS, SAME = 0.7, 0.5, 0.01
+BYTES_MOST, CPU_MOST, DETECT_MOST_S, AGREE_MOST_S = 64_000.0, 0.01, 5.0, 15.0
+
+
+def sized(base: FleetSpec, relays: int) -> FleetSpec:
+    times = 2 if relays > 20 else 1
+    return replace(base, relays=relays, nodes=12 * times, connections=base.connections * times, weights=(),
+                   filled=FILLED)  # fmt: skip
+
+
+def day(deployment: str, relays: int, way: str, seed: int) -> tuple[float, float, float]:
+    """The figure; the largest share of a second's connections that one node got, mean over seconds; age of the word."""
+    peers = {"off": "", "bound": "known"}.get(way, "net")
+    fleet = Fleet(replace(sized(BASES[deployment], relays), peers=peers), seed)
+    if fleet.talk is not None and fleet.talk.net is not None and way != "on":
+        word, share = {"mute": ("mute", 1.0), "old": ("old", 1.0)}.get(way, ("loss", 0.3))
+        fleet.talk.net.ways.start(Fault(word, 0.0, 1e9, share, 5000.0 if word == "old" else 0.0))
+    fleet.fill(4.0)
+    fleet.run(8.0)
+    wanted, served, crossed, stood = fleet.wanted, fleet.served, fleet.crossed, fleet.stood
+    shares, ages, before = list[float](), list[float](), {n.name: n.taken for n in fleet.nodes.values()}
+
+    def sample(_: float) -> None:
+        came = [n.taken - before[n.name] for n in fleet.nodes.values()]
+        before.update({n.name: n.taken for n in fleet.nodes.values()})
+        shares.append(max(came) / max(sum(came), 1))
+        ages.extend(r.reducer.balancer.others.told_age for r in fleet.relays if r.reducer.balancer.others.heard)
+
+    fleet.samples.append(sample)
+    fleet.run(RUN_S)
+    fleet.rules.check()
+    share = (fleet.served - served) / (fleet.wanted - wanted)
+    price = fleet.settings.cross_zone_price * (fleet.crossed - crossed) / max(fleet.stood - stood, 1.0)
+    return share - price, fmean(shares), fmean(ages) / 1000.0 if ages else 0.0
+
+
+def one(task: tuple[str, int, str, int]) -> tuple[tuple[str, int, str, int], tuple[float, float, float] | str]:
+    try:
+        return task, day(*task)
+    except BrokenRule as error:
+        return task, str(error)
+
+
+def member_day(seed: int) -> tuple[int, float, int]:
+    """Five relays, 20 % loss and a stall of up to 3 s; after how long all agree, and who was held dead and was not."""
+    found = play_members(5, seed, ("loss", "stall"))
+    return seed, found.agreed_s, found.false_deaths
+
+
+def detect_day(seed: int) -> float:
+    """How long after its end a killed relay's part is gone at all others (below 0: not within 10 s)."""
+    world = Relays(5, seed)
+    for index in range(5):
+        world.start(index)
+    world.run(4.0)
+    world.kill(seed % 5)
+    return world.until(world.true_sums, 10.0)
+
+
+def deep_kb(root: object) -> float:
+    """What an object and all that only it leads to take, in kB."""
+    seen, found, total = set[int](), [root], 0
+    while found:
+        item = found.pop()
+        if id(item) in seen or isinstance(item, type) or callable(item) and not hasattr(item, "__self__"):
+            continue
+        seen.add(id(item))
+        total += sys.getsizeof(item)
+        if not callable(item):
+            found += gc.get_referents(item)
+    return total / 1024.0
+
+
+def datagram_s() -> float:
+    """Processor time of one datagram through the kernel, sent and taken, on this machine."""
+    with socket.socket(type=socket.SOCK_DGRAM) as one, socket.socket(type=socket.SOCK_DGRAM) as other:
+        one.bind(("127.0.0.1", 0))
+        other.connect(one.getsockname())
+        began, data = time.process_time(), b"x" * 500
+        for _ in range(5000):
+            other.send(data)
+            one.recv(2048)
+        return (time.process_time() - began) / 5000
+
+
+def cost(task: tuple[int, int, int, bool]) -> dict[str, float]:
+    """So many relays whose connections come and go: bytes, datagrams and processor time of one, in virtual time."""
+    relays, nodes, seed, holding = task
+    world = Relays(relays, seed, nodes, max(2, min(nodes, 8 * nodes // relays)) if holding else 0)
+    for index in range(relays):
+        world.start(index)
+    world.run(6.0)
+    peers = list(world.net.peers.values())
+    for peer in peers:
+        peer.core.counts.clear()
+        peer.spent_s = 0.0
+    for _ in range(int(COST_S * 10)):
+        if holding:
+            for index in range(relays):
+                for _ in range(2):
+                    world.change(index)
+        world.run(0.1)
+    sent = fmean(peer.core.counts["sent_bytes"] for peer in peers) / COST_S
+    signals = fmean(peer.core.counts["signal_bytes"] for peer in peers) / COST_S
+    datagrams = fmean(peer.core.counts["sent"] for peer in peers) / COST_S
+    ages = [others.age_ms / 1000.0 for others in world.others.values()]
+    # The virtual network serves all relays in one thread; the kernel's part is measured apart.
+    return {"bytes": sent, "members": sent - signals, "datagrams": datagrams,
+            "cpu": fmean(peer.spent_s for peer in peers) / COST_S + datagrams * datagram_s(),
+            "memory_kb": deep_kb([peers[0].core.members.table, peers[0].core.signals, peers[0].core.pings]),
+            "age_s": fmean(ages), "heard": fmean(others.heard for others in world.others.values())}  # fmt: skip
+
+
+def compared(found: dict[tuple[str, int, str, int], tuple[float, float, float]], deployment: str, relays: int,
+             broken: list[str]) -> dict[str, Any]:  # fmt: skip
+    """One deployment at one size."""
+    seeds = sorted({seed for d, n, _, seed in found if (d, n) == (deployment, relays)})
+    of = {way: [found[deployment, relays, way, s][0] for s in seeds if (deployment, relays, way, s) in found]
+          for way in WAYS}  # fmt: skip
+    mean = {way: fmean(values) for way, values in of.items()}
+    whole = mean["bound"] - mean["off"]
+
+    def closed(way: str, least: float) -> float:
+        # Missed by how much, seed by seed, so that what the day brings all ways alike drops out.
+        missed = [off + least * (bound - off) - got
+                  for off, bound, got in zip(of["off"], of["bound"], of[way], strict=True)]  # fmt: skip
+        error = stdev(missed) / sqrt(len(missed)) if len(missed) > 1 else 0.0
+        if fmean(missed) > 2.0 * error:
+            broken.append(f"{deployment}, {relays} relays, {way}: {(mean[way] - mean['off']) / whole:.2f} of the way "
+                          f"closed, {least:g} is wanted")  # fmt: skip
+        return (mean[way] - mean["off"]) / whole if abs(whole) > 1e-9 else 0.0
+
+    herd = {way: fmean(found[deployment, relays, way, s][1] for s in seeds) for way in ("off", "on")}
+    return {"deployment": deployment, "relays": relays, "nodes": sized(BASES[deployment], relays).nodes,
+            "seeds": len(seeds), "off": round(mean["off"], 4), "on": round(mean["on"], 4),
+            "bound": round(mean["bound"], 4), "closed": round(closed("on", CLOSED), 3),
+            "closed_at_loss": round(closed("loss 0.3", CLOSED_LOSS), 3), "loss": 0.3,
+            "age_s": round(fmean(found[deployment, relays, "on", s][2] for s in seeds), 3),
+            "herd": round(herd["on"] / herd["off"], 3)}  # fmt: skip
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    chosen = options("Relays that hear one another, off and on, and the bound.").parse_args(arguments)
+    started, broken, rows = time.perf_counter(), list[str](), list[dict[str, Any]]()
+    size, first = chosen.size, chosen.seed * 1000
+    with ProcessPoolExecutor(len(os.sched_getaffinity(0))) as pool:
+        tasks = [(name, relays, way, first + n) for relays, (asked, probed) in sorted(SEEDS[size].items(), reverse=True)
+                 for name, seeds in (("asked", asked), ("probed", probed))
+                 for way in WAYS for n in range(seeds)]  # fmt: skip
+        relays, nodes = COST[size]
+        costs = pool.map(cost, [(relays, nodes, chosen.seed, True), (relays, nodes, chosen.seed, False),
+                                (max(relays // 4, 3), nodes, chosen.seed, False)])  # fmt: skip
+        same = pool.map(one, [(name, 3, way, first) for name in BASES for way in ("off", "mute", "old")])
+        found: dict[tuple[str, int, str, int], tuple[float, float, float]] = {}
+        for task, got in pool.map(one, tasks):
+            if isinstance(got, str):
+                broken.append(f"{task}: {got}")
+            else:
+                found[task] = got
+        for relays_ in SEEDS[size]:
+            for name in BASES:
+                row = compared(found, name, relays_, broken)
+                rows.append(row)
+                print("  ".join(f"{key} {value}" for key, value in row.items()), flush=True)
+        alike: dict[tuple[str, str], float] = {}
+        for (name, _, way, _), got in same:
+            alike[name, way] = got[0] if not isinstance(got, str) else -1.0
+        for name in BASES:
+            for way in ("mute", "old"):
+                off, what = alike[name, "off"], "all lost" if way == "mute" else "all 5 s old"
+                print(f"{name}, {what}: {alike[name, way]:.4f} (off {off:.4f})")
+                if abs(alike[name, way] - off) > SAME:
+                    broken.append(f"{name}, {way}: {alike[name, way]:.4f}, off {off:.4f}")
+        whole, members, fewer = costs
+        days = list(pool.map(member_day, range(first, first + MEMBER_SEEDS[size]), chunksize=4))
+        detect = list(pool.map(detect_day, range(first, first + 20)))
+    late = [seed for seed, agreed, _ in days if not 0.0 <= agreed <= AGREE_MOST_S]
+    if late:
+        broken.append(f"members do not agree {AGREE_MOST_S:g} s after the faults: seeds {late[:8]}")
+    if min(detect) < 0.0 or max(detect) > DETECT_MOST_S:
+        broken.append(f"a killed relay's part is gone after {max(detect):.1f} s: {DETECT_MOST_S:g} s at most")
+    print(f"{relays} relays, {nodes} nodes: {whole['bytes']:.0f} bytes/s sent by each, {whole['members']:.0f} for "
+          f"members, {whole['datagrams']:.0f} datagrams/s, {100 * whole['cpu']:.2f} % of a core, "
+          f"{whole['memory_kb']:.0f} kB, word {whole['age_s']:.2f} s old of {whole['heard']:.0f}")  # fmt: skip
+    print(f"members alone: {members['members']:.0f} bytes/s at {relays} relays, {fewer['members']:.0f} at "
+          f"{max(relays // 4, 3)}")  # fmt: skip
+    if whole["bytes"] > BYTES_MOST or whole["cpu"] > CPU_MOST:
+        broken.append(f"{whole['bytes']:.0f} bytes/s and {100 * whole['cpu']:.2f} % of a core: "
+                      f"{BYTES_MOST:.0f} and {100 * CPU_MOST:g} % at most")  # fmt: skip
+    agreed = max(agreed for _, agreed, _ in days)
+    deaths = sum(deaths for *_, deaths in days)
+    print(f"{len(days)} seeds with loss and a stall: all agree at most {agreed:.1f} s after the faults, {deaths} held "
+          f"dead that ran or stood still; a killed relay's part is gone after {max(detect):.1f} s at most")
+    last = rows[-1] if rows else {}
+    result = {key: [row[key] for row in rows] for key in last} | {
+        "bytes_per_s": round(whole["bytes"]), "members_bytes_per_s": round(members["members"]),
+        "cpu_share": round(whole["cpu"], 5), "memory_kb": round(whole["memory_kb"]), "cost_relays": relays,
+        "cost_nodes": nodes, "false_deaths": deaths, "member_seeds": len(days), "agreed_s": agreed,
+        "detect_s": max(detect)}  # fmt: skip
+    return finish(result, broken, started, chosen.json, chosen.seed, size)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,149 @@
+"""Several real processes of the program with faults between them, and the checker that holds the rules from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.stand_ins import ROOT, relay
+from yarrowspindle.lab.processes import Run, play
+from yarrowspindle.lab.processes.__main__ import main
+from yarrowspindle.lab.processes.checker import Checker, Terms
+from yarrowspindle.program.config import ConfigError, read_operator
+
+
+@pytest.mark.parametrize(("seed", "words"), [
+    (7, ("loss", "cut", "kill", "stall")), (12, ("split", "double", "reorder", "corrupt")),
+])  # fmt: skip
+def test_five_relays_keep_all_rules_and_agree_again(seed: int, words: tuple[str, ...]) -> None:
+    report = asyncio.run(play(Run(seed=seed, words=words)))
+    print(report)
+    assert not report.broken, str(report)
+    assert report.counts["up"] > 300 and report.datagrams["lost"] > 0 and report.agreed_s >= 0.0
+    assert report.served > 0.9, "a fault between relays costs the submitters next to nothing"
+
+
+def test_the_command_names_bad_arguments(capsys: pytest.CaptureFixture[str]) -> None:
+    for arguments in (["--faults", "los"], ["--relays", "0"], ["--seed", "x"]):
+        with pytest.raises(SystemExit) as ended:
+            main(arguments)
+        assert ended.value.code == 2
+    assert "'los' is no fault; these are: loss" in capsys.readouterr().err
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.at = 0.0
+
+    def now(self) -> float:
+        return self.at
+
+
+def checker() -> tuple[Checker, Clock]:
+    clock = Clock()
+    return Checker(clock.now, Terms()), clock
+
+
+def test_the_checker_finds_a_second_a_late_and_a_missing_answer() -> None:
+    c, clock = checker()
+    client = c.asked("r0", 2.0)
+    c.answered(client, "UP")
+    assert not c.broken
+    c.answered(client, "BUSY")
+    assert "one final answer" in c.broken[-1]
+    client = c.asked("r0", 2.0)
+    clock.at = 2.7
+    c.answered(client, "BUSY")
+    assert "in time" in c.broken[-1]
+    c.ended(c.asked("r0", 2.0))
+    assert "had not answered" in c.broken[-1]
+    client = c.asked("r0", 2.0)
+    clock.at = 6.0
+    assert c.overdue(client) and len(c.broken) == 4
+
+
+def test_the_checker_holds_nothing_against_a_relay_that_was_stopped_or_killed() -> None:
+    c, clock = checker()
+    client, other = c.asked("r0", 2.0), c.asked("r0", 2.0)
+    clock.at = 1.0
+    c.sleeps("r0")
+    clock.at = 4.0
+    c.wakes("r0")
+    c.answered(client, "UP")
+    c.ended(other)
+    assert not c.broken and c.counts["lost with a relay"] == 1
+
+
+def test_the_checker_finds_two_attempts_a_drain_and_a_cold_node_pushed_over() -> None:
+    c, clock = checker()
+    c.sent("r0", "n0", "1", "first")
+    c.given_up("1", "first")
+    c.sent("r0", "n1", "1", "second")
+    assert not c.broken
+    c.sent("r0", "n2", "1", "third")
+    assert "one attempt out" in c.broken[-1]
+    c.told("r0", "n3", False)
+    clock.at = 0.9
+    c.sent("r0", "n3", "2", "a")
+    assert len(c.broken) == 1, "within the grace"
+    clock.at = 1.2
+    c.sent("r1", "n3", "3", "b")
+    assert len(c.broken) == 1, "that relay was not told"
+    c.sent("r0", "n3", "4", "c")
+    assert "drain" in c.broken[-1]
+    c.started("n4")
+    for n in range(60):
+        clock.at += 0.02
+        c.sent("r0", "n4", f"c{n}", n)
+    assert "cold" in c.broken[-1]
+
+
+def test_members_agree_only_where_all_said_the_same_of_late() -> None:
+    c, clock = checker()
+    c.viewed("r0", 5)
+    clock.at = 1.0
+    c.viewed("r1", 5)
+    assert c.agree(["r0", "r1"], 0.0) and not c.agree(["r0", "r1"], 0.5) and not c.agree(["r0", "r2"], 0.0)
+    c.viewed("r0", 6)
+    assert not c.agree(["r0", "r1"], 0.0)
+
+
+# --- the daemon alone -----------------------------------------------------------------------------
+
+
+def test_nothing_of_peers_is_loaded_without_the_section() -> None:
+    code = ("import sys, yarrowspindle.program.main, yarrowspindle.program.line_front; "
+            "print([m for m in sys.modules if 'peer' in m or m == 'msgspec'])")  # fmt: skip
+    said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert said.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(("section", "says"), [
+    ('listen = "nowhere"', "peers.listen is 'nowhere'"),
+    ('listen = "127.0.0.1:1"\nprobes = 1', "peers.probes is not known"),
+])  # fmt: skip
+def test_a_wrong_section_ends_the_start_with_its_key(section: str, says: str) -> None:
+    with pytest.raises(ConfigError, match=says):
+        read_operator(f"[peers]\n{section}\n")
+
+
+def test_an_address_that_is_taken_is_waited_for_while_jobs_are_served(tmp_path: Path) -> None:
+    async def body() -> None:
+        with socket.socket(type=socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            port = taken.getsockname()[1]
+            async with relay(tmp_path, f'[peers]\nlisten = "127.0.0.1:{port}"\nseeds = []\n') as world:
+                await world.logged("cannot be had yet")
+                await world.standing()
+                taken.close()
+                await world.logged(f"listens at 127.0.0.1:{port}")
+                await world.standing()
+                world.stop()
+                await world.logged("stopped")
+
+    asyncio.run(body())
--- a/yarrowspindle/lab/model/node.py
+++ b/yarrowspindle/lab/model/node.py
@@ -34,6 +34,7 @@
         self.sent_work = self.sent_load = 0.0
         self.cold_ratio_peak = 0.0
         self.worth = 0.0  # of what it holds
+        self.taken = 0  # connections so far
         self.slow = 1.0  # how many times slower than usual
         self.hangs = self.silent = False  # takes all and answers nothing; has vanished from the network
         self.paused_until = 0.0
@@ -90,6 +91,7 @@
         self._sent(now, usual or load)
         if not self.alive:
             return False
+        self.taken += 1
         self.held[connection] = (load, group)
         self.worths[connection] = worth
         self.worth += worth
--- a/yarrowspindle/lab/model/peering.py
+++ b/yarrowspindle/lab/model/peering.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from time import perf_counter
 
 from yarrowspindle.interface import Others
 from yarrowspindle.lab.faults import Fault, Ways
@@ -35,7 +36,7 @@
         self.log: list[tuple[float, str]] = []
         self.alive, self.stalled_until = True, 0.0
         self.waiting: list[Event] = []
-        self.spent_s = 0.0
+        self.spent_s = 0.0  # of processor time, in the core and its pump
 
     def now(self) -> float:
         return self.net.clock.now() - self.net.clock.start + self.offset
@@ -53,7 +54,9 @@
         if left > 0.0:
             self.net.clock.after(left, self._due, then)
         else:
+            began = perf_counter()
             then()
+            self.spent_s += perf_counter() - began
 
     def _send(self, to: Address, data: bytes) -> None:
         self.net.send(self, to, data)
@@ -72,7 +75,9 @@
                 if len(self.waiting) == 1:
                     self.net.clock.after(self.stalled_until - self.net.clock.now(), self._awake)
             return
+        began = perf_counter()
         self.pump.post(event)
+        self.spent_s += perf_counter() - began
 
     def _awake(self) -> None:
         waiting, self.waiting = self.waiting, []
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -396,6 +396,7 @@
             sent += len(data) * len(there)
             for member in there:
                 self._put(member.address, data)
+        self.counts["signal_bytes"] += sent
         self._wake(1000.0 * max(self.settings.signal_s, sent / self.settings.bytes_per_s), SIGNAL)
 
     def _signal(self, member: Member, datagram: Datagram, signal: Signal) -> None:
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -137,7 +137,8 @@
             read_peers(data["peers"]) if "peers" in data else None,
         )
     except (KeyError, TypeError, ValueError, AttributeError, ListError) as error:
-        raise ConfigError(f"the operator's file makes no sense: {error!r}") from error
+        said = str(error) if isinstance(error, ValueError) else repr(error)  # a KeyError says only the key
+        raise ConfigError(f"the operator's file makes no sense: {said}") from error
 
 
 def read_quic(section: dict[str, Any]) -> QuicConfig:
