Tell signals in one datagram a beat, fifty a second at most, and the module less often in large fleets

Cause: at 200 relays and 2,000 nodes a relay sent 234 datagrams a second and took 4.4 % of a core: changes beyond one datagram went as several, the virtual network swapped them, each swap was a gap and asked for the whole. Now one datagram a beat; what does not fit goes with the next. Where words come seldom each change is told once, not three times.

--- a/yarrowspindle/lab/model/peering.py
+++ b/yarrowspindle/lab/model/peering.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
-from time import perf_counter
+from time import process_time
 
 from yarrowspindle.interface import Others
 from yarrowspindle.lab.faults import Fault, Ways
@@ -54,9 +54,9 @@
         if left > 0.0:
             self.net.clock.after(left, self._due, then)
         else:
-            began = perf_counter()
+            began = process_time()
             then()
-            self.spent_s += perf_counter() - began
+            self.spent_s += process_time() - began
 
     def _send(self, to: Address, data: bytes) -> None:
         self.net.send(self, to, data)
@@ -75,9 +75,9 @@
                 if len(self.waiting) == 1:
                     self.net.clock.after(self.stalled_until - self.net.clock.now(), self._awake)
             return
-        began = perf_counter()
+        began = process_time()
         self.pump.post(event)
-        self.spent_s += perf_counter() - began
+        self.spent_s += process_time() - began
 
     def _awake(self) -> None:
         waiting, self.waiting = self.waiting, []
--- a/yarrowspindle/others.py
+++ b/yarrowspindle/others.py
@@ -12,7 +12,7 @@
 from yarrowspindle.books import Server
 from yarrowspindle.interface import SERVER_KEY, Others, group_key
 
-FRESH_MS, OLD_MS = 1500.0, 4500.0
+FRESH_MS, OLD_MS = 2000.0, 4500.0
 MOVERS = 2  # balancers that move connections on one beat
 TURN_BEAT_MS = 500.0
 TURN_MS = 2000.0  # a server that nobody probed for so long is anybody's turn
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -37,13 +37,17 @@
 from yarrowspindle.peers.members import Change, Member, Members, rumour_bytes
 from yarrowspindle.peers.messages import Came, Effect, Event, Leave, Look, Note, Own, Send, Told, Wake, Woke
 from yarrowspindle.peers.settings import PeerSettings
-from yarrowspindle.peers.signals import Signals
+from yarrowspindle.peers.signals import TOLD_TIMES, Signals
 from yarrowspindle.routing.messages import Address
 
 BEAT, DIRECT, NACK, SIGNAL, TELL, JOIN = "beat", "direct", "nack", "signal", "tell", "join"
 JOIN_MS, JOIN_MOST_MS = 500.0, 5000.0  # between calls at seeds while nobody is known, growing
 AGAIN_MS = 2000.0  # a relay held dead, or a seed that nobody knows of, is called this often, so that a cut heals
 WHOLES_PER_S, WHOLE_EACH_MS = 8.0, 1000.0  # whole tables and wholes of signals sent, in all and to each
+# datagrams of signals, so that a large fleet costs each relay no more than half a percent of a core
+SELDOM_S = 0.5
+TELL_EACH_MS, TELL_MOST_MS = 5.0, 500.0  # the module is told the less often, the more relays there are
+SIGNALS_PER_S = 50.0
 CLOCKS = 10  # pings a beat for clocks that are not known
 PINGS_MOST = 1024
 SOURCE_PER_S, SOURCES_MOST = 1000, 1024  # datagrams taken of one address in a second, and addresses
@@ -389,15 +393,15 @@
 
     def _own(self, event: Own) -> None:
         """Tells all others at once, as often as the bytes allow."""
-        sent = 0
         there = self._there()
-        for word in self.signals.own.signals(event, self.now):
-            data = self._encode(word)
-            sent += len(data) * len(there)
-            for member in there:
-                self._put(member.address, data)
+        least = max(self.settings.signal_s, len(there) / SIGNALS_PER_S)
+        # Where words come seldom, one that is lost is not made up for by the next two: its whole is asked for.
+        data = self._encode(self.signals.own.signal(event, self.now, TOLD_TIMES if least < SELDOM_S else 1))
+        for member in there:
+            self._put(member.address, data)
+        sent = len(data) * len(there)
         self.counts["signal_bytes"] += sent
-        self._wake(1000.0 * max(self.settings.signal_s, sent / self.settings.bytes_per_s), SIGNAL)
+        self._wake(1000.0 * max(least, sent / self.settings.bytes_per_s), SIGNAL)
 
     def _signal(self, member: Member, datagram: Datagram, signal: Signal) -> None:
         if member.here and self.signals.told(member.name, member.life, datagram.at, signal, self.now):
@@ -410,7 +414,7 @@
                 self._put(member.address, self._encode(word))
 
     def _tell_module(self) -> None:
-        self._wake(1000.0 * self.settings.signal_s, TELL)
+        self._wake(max(1000.0 * self.settings.signal_s, min(TELL_MOST_MS, TELL_EACH_MS * self.members.size)), TELL)
         names, me = self.members.names, self.members.me.name
         others = self.signals.others(self.now, len(names), names.index(me) if me in names else 0)
         now = (others.heard, others.balancers)
--- a/yarrowspindle/peers/settings.py
+++ b/yarrowspindle/peers/settings.py
@@ -39,7 +39,7 @@
     name: str = ""
     probe_s: float = 0.5
     suspicion_s: float = 1.5
-    signal_s: float = 0.25
+    signal_s: float = 0.1
     bytes_per_s: float = 48_000.0
     forget_s: float = 60.0
 
--- a/yarrowspindle/peers/signals.py
+++ b/yarrowspindle/peers/signals.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from itertools import islice
 from math import inf
 
@@ -18,7 +19,7 @@
 
 FIGURE_MOST = (1 << 32) - 1
 ENTRIES = 50  # of three figures in a datagram, the whole of it at most 1,200 bytes with the heads and rumours
-REPORTS, PASSED = 24, 24  # at most in a datagram, which holds fewer entries then
+REPORTS, PASSED = 12, 12  # at most in a datagram, which holds fewer entries then, half of them at the least
 TOLD_TIMES = 3
 PART_EVERY = 4  # beats between parts of the whole
 KEYS_MOST = 8192  # nodes that one relay may say it holds something at
@@ -27,6 +28,16 @@
 WINDOW_MS = 60_000.0  # the bound on another's clock is taken anew within two of these
 WANTED_MS = 1000.0  # the whole is asked for again no sooner
 REPORT_AGE_MS = 5000.0
+NOTHING = (0, 0)
+
+
+@dataclass(slots=True)
+class Changes:
+    """Nodes of which something changed, and how often they were told with this version."""
+
+    version: int
+    keys: list[int]
+    times: int = 0
 
 
 class OwnWord:
@@ -35,36 +46,38 @@
     def __init__(self) -> None:
         self.holds: dict[int, tuple[int, int]] = {}  # as last told
         self.version = 0
-        self.told: deque[tuple[int, int, tuple[int, ...]]] = deque()  # beat, version, keys that changed with it
+        self.told: deque[Changes] = deque()
         self.beat = self.cursor = 0
         self.reports_told: dict[int, float] = {}  # node -> when the report was made that was last told
 
-    def signals(self, own: Own, now: float) -> list[Signal]:
-        """The words of one beat."""
+    def signal(self, own: Own, now: float, times: int = TOLD_TIMES) -> Signal:
+        """The word of one beat: one datagram, so that none overtakes another. What does not fit goes with the next one.
+        Each change is told so many times, as long as the newer ones leave room."""
         self.beat += 1
-        while self.told and self.told[0][0] <= self.beat - TOLD_TIMES:
-            self.told.popleft()
         changed = self._changed(own)
         for start in range(0, len(changed), ENTRIES // 2):
             self.version += 1
-            self.told.append((self.beat, self.version, tuple(changed[start : start + ENTRIES // 2])))
+            self.told.append(Changes(self.version, changed[start : start + ENTRIES // 2]))
         passed = [f for key, left in islice(own.passed.items(), PASSED) for f in (key, figure(left))]
         reports = self._reports(own, now)
-        base = self.told[0][1] - 1 if self.told else self.version
-        words, keys, last, room = list[Signal](), list[int](), base, self._room(passed, reports)
-        for _, version, some in self.told:
-            new = [key for key in some if key not in keys]
+        room = self._room(passed, reports)
+        while self.told and self.told[0].times >= times:
+            self.told.popleft()
+        while self.told and self.told[0].times and sum(len(c.keys) for c in self.told) > room:
+            self.told.popleft()
+        base = last = self.told[0].version - 1 if self.told else self.version
+        keys = dict[int, None]()
+        for changes in self.told:
+            new = [key for key in changes.keys if key not in keys]
             if keys and len(keys) + len(new) > room:
-                words.append(Signal(base, last, self._entries(keys), passed=passed, reports=reports))
-                base, keys, passed, reports, room = last, [], [], [], ENTRIES
-                new = list(some)
-            keys += new
-            last = version
+                break
+            keys |= dict.fromkeys(new)
+            changes.times += 1
+            last = changes.version
         first, end, part = 0, 0, list[int]()
         if self.beat % PART_EVERY == 0:
             first, end, part = self._part(max(room - len(keys), 8))
-        words.append(Signal(base, last, self._entries(keys), first, end, part, passed, reports))
-        return words
+        return Signal(base, last, self._entries(keys), first, end, part, passed, reports)
 
     def whole(self) -> list[Signal]:
         """All of it, in parts."""
@@ -113,7 +126,7 @@
         self.cursor = last + 1
         return first, last, self._entries(keys[:most])
 
-    def _entries(self, keys: list[int]) -> list[int]:
+    def _entries(self, keys: Iterable[int]) -> list[int]:
         return [f for key in keys for f in (key, *self.holds.get(key, (0, 0)))]
 
 
@@ -151,7 +164,7 @@
         self.heard: dict[str, Heard] = {}
         self.sums: dict[int, list[int]] = {}  # node -> connections, load of all that are counted
         self.changed: set[int] = set()
-        self.came: Counter[int] = Counter()
+        self.came: dict[int, int] = {}
         self.reports: dict[int, tuple[float, float, float]] = {}  # node -> use, connections, when it was made
         self.counts: Counter[str] = Counter()
         self.shunned: frozenset[int] = frozenset()
@@ -187,10 +200,12 @@
         if word.last > word.first:
             named = set(word.part[::3])
             for key in [k for k in heard.holds if word.first <= k <= word.last and k not in named]:
-                self._set(heard, key, 0, 0)
+                self._set(heard, key, *NOTHING)
+        known = heard.holds.get
         for figures in (word.part, word.changed):
             for key, count, load in zip(figures[::3], figures[1::3], figures[2::3], strict=True):
-                self._set(heard, key, count, load)
+                if known(key, NOTHING) != (count, load):  # each change comes three times
+                    self._set(heard, key, count, load)
         heard.passed = {key: now + left for key, left in zip(word.passed[::2], word.passed[1::2], strict=True)}
         for key, used, holds, age in zip(*(iter(word.reports),) * 4, strict=True):
             made = now - heard.age(now) - age
@@ -202,9 +217,7 @@
         return False
 
     def _set(self, heard: Heard, key: int, count: int, load: int) -> None:
-        was = heard.holds.get(key, (0, 0))
-        if was == (count, load):
-            return
+        was = heard.holds.get(key, NOTHING)
         if count or load:
             if key not in heard.holds and len(heard.holds) >= KEYS_MOST:
                 return
@@ -213,14 +226,17 @@
             del heard.holds[key]
         if heard.counted:
             self._add(key, count - was[0], load - was[1])
-            self.came[key] += count - was[0]
+            self.came[key] = self.came.get(key, 0) + count - was[0]
 
     def _add(self, key: int, count: int, load: int) -> None:
-        total = self.sums.setdefault(key, [0, 0])
-        total[0] += count
-        total[1] += load
-        if not any(total):
-            del self.sums[key]
+        total = self.sums.get(key)
+        if total is None:
+            self.sums[key] = [count, load]
+        else:
+            total[0] += count
+            total[1] += load
+            if not total[0] and not total[1]:
+                del self.sums[key]
         self.changed.add(key)
 
     def _count(self, heard: Heard, counted: bool) -> None:
