Go on after a failure in the core of peers, and count new settings' balancers

A fault in a beat would have ended the chain of beats unseen: it is logged, counted and tried again after a second. SIGHUP with another number of relays changed what own loads are compared with before, and does again (OthersBook.settled).

--- a/tests/test_others.py
+++ b/tests/test_others.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from tests.helpers import balancer, end, open_one
+from tests.helpers import balancer, end, open_one, settings
 from tests.test_reports import Relay, warmed
 from yarrowspindle.books import Job, Server
-from yarrowspindle.interface import SERVER_KEY, Others, group_key
+from yarrowspindle.interface import SERVER_KEY, Others, Retuned, group_key
 from yarrowspindle.others import MOVERS, TURN_BEAT_MS, OthersBook
 from yarrowspindle.policy import BEAT_MS
 from yarrowspindle.runtime.peer_pump import own_word
@@ -98,6 +98,12 @@
     assert adds[4] < 0.6 * adds[2]
 
 
+def test_new_settings_count_their_balancers() -> None:
+    b = balancer(2, balancers=4)
+    b.handle(0.0, Retuned(settings(balancers=7)))
+    assert b.others.shares(0.0) == (0.0, 7.0)
+
+
 def test_moves_go_by_turns_among_those_heard_of() -> None:
     books = [OthersBook(1) for _ in range(5)]
     for rank, book in enumerate(books):
--- a/tests/test_peers_virtual.py
+++ b/tests/test_peers_virtual.py
@@ -7,7 +7,7 @@
 from yarrowspindle.lab.faults import WORDS, Fault, FaultError, Ways, read_words, relay_names, schedule
 from yarrowspindle.lab.model.members import Relays, play_members
 from yarrowspindle.lab.model.peering import address_of
-from yarrowspindle.peers.messages import Came
+from yarrowspindle.peers.messages import Came, Own
 
 SETS = (("loss", "stall"), ("split", "loss"), ("cut", "kill"), ("oneway", "double", "reorder"), ("lost", "late"),
         ("corrupt", "kill", "stall"), ("old",), ("mute",), ("restart", "loss"))  # fmt: skip
@@ -204,3 +204,22 @@
         return found
 
     assert fates(False) == fates(True) and 10 < sum(fates(False)) < 45
+
+
+def test_a_beat_that_fails_is_told_and_tried_again() -> None:
+    world = started(3)
+    peer = world.net.peers[0]
+    failed: list[str] = []
+    peer.pump.failed = lambda event: failed.append(type(event).__name__)
+    beat = peer.core.wakes["beat"]
+    own = peer.core.handlers[Own]
+
+    def fails(*_: object) -> None:
+        raise RuntimeError("on purpose")
+
+    peer.core.wakes["beat"], peer.core.handlers[Own] = fails, fails
+    world.run(2.5)
+    assert "Woke" in failed and "Own" in failed
+    peer.core.wakes["beat"], peer.core.handlers[Own] = beat, own
+    world.change(0)
+    assert 0.0 <= world.until(lambda: world.agree() and world.true_sums(), 10.0)
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -414,13 +414,13 @@
                 self._put(member.address, self._encode(word))
 
     def _tell_module(self) -> None:
-        self._wake(max(1000.0 * self.settings.signal_s, min(TELL_MOST_MS, TELL_EACH_MS * self.members.size)), TELL)
         names, me = self.members.names, self.members.me.name
         others = self.signals.others(self.now, len(names), names.index(me) if me in names else 0)
         now = (others.heard, others.balancers)
         if now != self.last or others.heard or others.holds:
             self.last = now
             self.effects.append(Told(others))
+        self._wake(max(1000.0 * self.settings.signal_s, min(TELL_MOST_MS, TELL_EACH_MS * self.members.size)), TELL)
 
     # --- time, the end ----------------------------------------------------------------------------
 
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -93,7 +93,7 @@
         return self.out
 
     def _retuned(self, event: Retuned) -> None:
-        self.settings = event.settings
+        self.settings, self.others.settled = event.settings, event.settings.balancers
         if self.estimates is not None:
             self.estimates.retuned(event.settings)
 
--- a/yarrowspindle/program/peering.py
+++ b/yarrowspindle/program/peering.py
@@ -14,7 +14,7 @@
 
 from yarrowspindle.interface import Others
 from yarrowspindle.peers import Peers, PeerSettings
-from yarrowspindle.peers.messages import Came, Leave, Own
+from yarrowspindle.peers.messages import Came, Event, Leave, Own
 from yarrowspindle.program.hub import Hub
 from yarrowspindle.program.log import Bounded
 from yarrowspindle.routing.messages import Address, OthersTold
@@ -39,7 +39,7 @@
         life = int(time.time() * 1000.0)
         self.core = Peers(settings, name, life, int.from_bytes(os.urandom(8), "big"), self._now())
         self.pump = PeerPump(self.core, self._now, self._after, self._send, self._own,
-                             self._told, self._note)  # fmt: skip
+                             self._told, self._note, self._failed)  # fmt: skip
         self.bounded = Bounded(time.monotonic)
         self.handles: set[asyncio.TimerHandle] = set()
         hub.metrics.sources["peers"] = self.counts
@@ -105,6 +105,11 @@
     def _told(self, others: Others) -> None:
         self.hub.post(OthersTold(others))
 
+    def _failed(self, event: Event) -> None:
+        """Jobs are served without peers: a fault here must not end the process, nor go unseen."""
+        self.core.counts["failures"] += 1
+        logger.exception("peers: the core failed at {}", type(event).__name__)
+
     def _note(self, text: str, bounded: bool) -> None:
         if bounded:
             self.bounded.warn(f"peers: {text}")
--- a/yarrowspindle/runtime/peer_pump.py
+++ b/yarrowspindle/runtime/peer_pump.py
@@ -9,22 +9,26 @@
 
 from yarrowspindle.books import Server
 from yarrowspindle.interface import SERVER_KEY, Others, group_key
-from yarrowspindle.peers.core import Peers
+from yarrowspindle.peers.core import SIGNAL, Peers
 from yarrowspindle.peers.messages import Event, Look, Note, Own, Send, Told, Wake, Woke
 from yarrowspindle.routing.messages import Address
 
+AGAIN_MS = 1000.0  # a beat that failed is tried again
 REPORT_MS = 750.0  # own load reports so young are told to the others
 
 
 class PeerPump:
     """now: milliseconds of a clock that only goes on. after: calls the function after so many milliseconds.
-    own: what this relay holds. told: for the module. note: a text for the log, and whether strangers can cause it."""
+    own: what this relay holds. told: for the module. note: a text for the log, and whether strangers can cause it.
+    failed: called for an event that the core cannot take, while the exception is handled; without it the exception
+    goes on."""
 
     def __init__(self, core: Peers, now: Callable[[], float], after: Callable[[float, Callable[[], None]], object],
                  send: Callable[[Address, bytes], None], own: Callable[[], Own], told: Callable[[Others], None],
-                 note: Callable[[str, bool], None]) -> None:  # fmt: skip
+                 note: Callable[[str, bool], None], failed: Callable[[Event], None] | None = None) -> None:  # fmt: skip
         self.core, self.now, self.after, self.send, self.own, self.told, self.note = (
             core, now, after, send, own, told, note)  # fmt: skip
+        self.failed = failed
         self.queue: deque[Event] = deque()
         self.busy = self.closed = False
 
@@ -40,7 +44,14 @@
         self.busy = True
         try:
             while self.queue:
-                self._carry_out(self.core.step(self.now(), self.queue.popleft()))
+                event = self.queue.popleft()
+                try:
+                    self._carry_out(self.core.step(self.now(), event))
+                except Exception:
+                    if self.failed is None:
+                        raise
+                    self.failed(event)
+                    self._go_on(event)
         finally:
             self.busy = False
 
@@ -48,6 +59,13 @@
         self.closed = True
         self.queue.clear()
 
+    def _go_on(self, event: Event) -> None:
+        """After a failure: a beat sets its next one as the last thing that it does, so this one had not."""
+        self._carry_out(self.core.take_effects())
+        what = SIGNAL if isinstance(event, Own) else event.what if isinstance(event, Woke) else None
+        if isinstance(what, str):
+            self._wake(Wake(AGAIN_MS, what))
+
     def _carry_out(self, effects: list[Send | Wake | Look | Told | Note]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
