--- a/yarrowspindle/lab/model/peering.py
+++ b/yarrowspindle/lab/model/peering.py
@@ -30,7 +30,8 @@
         settings = net.settings(self.address)
         # Each process has a clock of its own, that says nothing of the others'.
         self.offset = net.random.uniform(0.0, 1e9)
-        self.core = Peers(settings, net.names.get(index, self.party), life, net.random.randrange(1 << 32), self.now())
+        self.made = (settings, net.names.get(index, self.party), life, net.random.randrange(1 << 32), self.now())
+        self.core = Peers(*self.made)
         self.pump = PeerPump(self.core, self.now, self._after, self._send, own, told, self._note)
         self.log: list[tuple[float, str]] = []
         self.alive, self.stalled_until = True, 0.0
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -45,7 +45,7 @@
 AGAIN_MS = 2000.0  # a relay held dead, or a seed that nobody knows of, is called this often, so that a cut heals
 WHOLES_PER_S, WHOLE_EACH_MS = 8.0, 1000.0  # whole tables and wholes of signals sent, in all and to each
 SELDOM_S = 0.5  # beats that are longer tell each change once
-TELL_EACH_MS, TELL_MOST_MS = 5.0, 500.0  # the module is told the less often, the more relays there are
+TELL_EACH_MS, TELL_MOST_MS = 5.0, 1000.0  # the module is told the less often, the more relays there are
 # Datagrams of signals a second: 125 up to 40 relays (at 50 word was 0.4 s old there, and they herded), 50 from 100 on.
 SIGNALS_PER_S, SIGNALS_MOST, SIGNALS_ALL = 50.0, 125.0, 5000.0
 CLOCKS = 10  # pings a beat for clocks that are not known
--- a/yarrowspindle/peers/signals.py
+++ b/yarrowspindle/peers/signals.py
@@ -133,13 +133,15 @@
 class Heard:
     """What one other relay said."""
 
-    __slots__ = ("life", "at", "version", "holds", "passed", "bounds", "counted", "wanted_at", "lost")
+    __slots__ = ("life", "at", "version", "holds", "passed", "bounds", "counted", "wanted_at", "lost",
+                 "least")  # fmt: skip
 
     def __init__(self, life: int) -> None:
         self.life, self.at, self.version = life, -1, -1
         self.holds: dict[int, tuple[int, int]] = {}
         self.passed: dict[int, float] = {}  # node -> until when
         self.bounds: list[tuple[float, float]] = []  # windows: since when, the least (its clock minus ours)
+        self.least = inf  # of those windows
         self.counted = False  # in the sums
         self.wanted_at, self.lost = -inf, False
 
@@ -150,12 +152,11 @@
         else:
             since, least = self.bounds[-1]
             self.bounds[-1] = (since, min(least, shown - asked))
+        self.least = min(least for _, least in self.bounds)
 
     def age(self, now: float) -> float:
         """The most that its newest word can be old; infinite before its clock is known."""
-        if not self.bounds or self.at < 0:
-            return inf
-        return max(0.0, now - self.at + min(least for _, least in self.bounds))
+        return max(0.0, now - self.at + self.least) if self.at >= 0 else inf
 
 
 class Signals:
--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -1,5 +1,5 @@
-"""One relay's part in turns: `(state, event) -> effects`. It votes where it has a file, proposes what it wants changed, and
-says which machines are kept off and which are to be emptied.
+"""One relay's part in turns: `(state, event) -> effects`. It votes where it has a file, proposes what it wants
+changed, and says which machines are kept off and which are to be emptied.
 
 Driven by the virtual clock of `lab/model/turning.py`; not wired into the daemon yet.
 """
@@ -74,7 +74,8 @@
 
 @dataclass(slots=True)
 class Took:
-    """A committed state was taken up: from here on these machines are kept off, and those emptying are to be emptied."""
+    """A committed state was taken up: from here on these machines are kept off, and those emptying are to be
+    emptied."""
 
     state: TurnState
 
@@ -199,7 +200,8 @@
             self._carry_out(self.proposer.give_up("no majority in time"))
         if self.proposer.round is None and self.now >= self.wait_until:
             self._drop_done()
-            if self._change(self.state) is not None or self.now >= self.read_at + READ_MS * (1.0 + self.random.random()):
+            reads = self.now >= self.read_at + READ_MS * (1.0 + self.random.random())
+            if reads or self._change(self.state) is not None:
                 self.began = self.now
                 self._carry_out(self.proposer.start(self._change))
         self.effects.append(Wake(BEAT_MS * self.random.uniform(0.8, 1.2), BEAT))
@@ -232,8 +234,8 @@
         return state.confirmed(self.name, self.life, mine) if mine and self.registered else None
 
     def _votes_again(self, state: TurnState) -> TurnState | None:
-        """With another file than the voters know of: the one before was lost, and what it promised with it. The others take
-        the new one in, all of them, before it counts."""
+        """With another file than the voters know of: the one before was lost, and what it promised with it. The
+        others take the new one in, all of them, before it counts."""
         if self.voter is None or self.name not in state.voters:
             return None
         return state.with_voter(self.name, self.voter.kept.identity)
--- a/yarrowspindle/turns/register.py
+++ b/yarrowspindle/turns/register.py
@@ -1,7 +1,7 @@
 """One register of whole states, changed through a majority of voters: Paxos, each change a read and a write. Pure.
 
-`Voter` answers, `Proposer` asks. Neither knows what a state means, but for its version and its voters. What a voter has to keep
-is in `Kept`; `Store` comes before the answer that rests on it, and must be carried out before that is sent.
+`Voter` answers, `Proposer` asks. Neither knows what a state means, but for its version and its voters. What a voter
+has to keep is in `Kept`; `Store` comes before the answer that rests on it, and must be carried out before that is sent.
 """
 
 from __future__ import annotations
@@ -70,8 +70,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Refused(Generic[S]):
-    """Promised to a higher ballot, or the proposer's epoch is old: then with the newer state, which it may not be committed,
-    but whose voters are those to ask. not_voter: asked for another identity than its own."""
+    """Promised to a higher ballot, or the proposer's epoch is old: then with the newer state, which it may not be
+    committed, but whose voters are those to ask. not_voter: asked for another identity than its own."""
 
     ballot: Ballot
     promised: Ballot
@@ -164,8 +164,9 @@
 
 
 class Proposer(Generic[S]):
-    """One round at a time. known: the newest committed state. guide: the state by whose voters the next round goes, which may
-    be one that was never committed: where it was, every majority has a voter that says so. A change is a function of the state that is read;
+    """One round at a time. known: the newest committed state. guide: the state by whose voters the next round goes,
+    which may be one that was never committed: where it was, every majority has a voter that says so. A change is a
+    function of the state that is read;
     None: leave it as it is. It may be called again on another state, and what it did may have been done before."""
 
     def __init__(self, name: str, known: S, random: Random) -> None:
@@ -246,7 +247,8 @@
             self.round = None
             self.learned(state)
             return [Committed(state, False)]
-        now.proposed = wanted if wanted is not None else state  # what a minority may hold is written before it is believed
+        # what a minority may hold is written before it is believed
+        now.proposed = wanted if wanted is not None else state
         if now.newer is not None and now.newer.epoch >= now.proposed.epoch:
             # The voter that a failed change of voters was left at must be able to take this one.
             now.proposed = now.proposed.at_epoch(now.newer.epoch + 1)
@@ -263,7 +265,8 @@
         if now.proposed is None:
             return []
         now.accepted.add(source)
-        both = all(len(now.accepted & set(voters)) >= majority(voters) for voters in (now.base.voters, now.proposed.voters))
+        both = all(len(now.accepted & set(voters)) >= majority(voters) for voters in (now.base.voters,
+        now.proposed.voters))
         if not both or now.needed - now.accepted:
             return []
         changed = now.proposed.version > max(p.state.version for p in now.promises.values())
--- a/yarrowspindle/turns/state.py
+++ b/yarrowspindle/turns/state.py
@@ -1,8 +1,9 @@
-"""What the relays agree on: requests, the order, who is out, who confirmed. Each change is a pure function of the state.
+"""What the relays agree on: requests, the order, who is out, who confirmed. Each change is a pure function of the
+state.
 
-Rules: never more out at once than a request allows (in all, and in each zone), never less ready capacity than its floor by a
-turn's doing; a machine is free only when every registered relay confirmed this turn's number or is known to have ended; turn
-numbers grow by one and are used once.
+Rules: never more out at once than a request allows (in all, and in each zone), never less ready capacity than its
+floor by a turn's doing; a machine is free only when every registered relay confirmed this turn's number or is known
+to have ended; turn numbers grow by one and are used once.
 """
 
 from __future__ import annotations
@@ -32,8 +33,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Wish:
-    """What operators ask for. machines: in the wanted order. most, most_zone: out at once; floor: ready capacity that must
-    stay, in units of the list; deadline_s: connections that have not moved by then are ended."""
+    """What operators ask for. machines: in the wanted order. most, most_zone: out at once; floor: ready capacity that
+    must stay, in units of the list; deadline_s: connections that have not moved by then are ended."""
 
     machines: tuple[str, ...]
     most: int = 1
@@ -205,7 +206,8 @@
         return None
 
     def rolled_back(self, why: str) -> TurnState | None:
-        """Something died, or the fleet is under pressure: the queue stops, and who has not emptied yet is given back."""
+        """Something died, or the fleet is under pressure: the queue stops, and who has not emptied yet is given
+        back."""
         back = {m: o for m, o in self.out.items() if o.stage == EMPTYING}
         if self.paused == why and not back:
             return None
