--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -31,7 +31,7 @@
 FILLED, RUN_S = 0.75, 30.0
 BASES = {"asked": replace(ASKED, by_own_load=True), "probed": PROBED}  # the daemon always judges by own load too
 WAYS = ("off", "on", "loss 0.3", "bound")
-SEEDS = {"small": {3: (16, 6), 10: (10, 5)}, "machine": {3: (80, 40), 10: (40, 24), 40: (10, 8)}, "large": {}}
+SEEDS = {"small": {3: (16, 6), 10: (10, 5)}, "machine": {3: (80, 40), 10: (40, 24), 40: (10, 8)}, "large": {3: (16, 6)}}
 MEMBER_SEEDS = {"small": 60, "machine": 1000, "large": 200}
 COST = {"small": (10, 100), "machine": (40, 400), "large": (200, 2000)}
 COST_S = 8.0
@@ -257,8 +257,7 @@
     deaths = sum(deaths for *_, deaths in days)
     print(f"{len(days)} seeds with loss and a stall: all agree at most {agreed:.1f} s after the faults, {deaths} held "
           f"dead that ran or stood still; a killed relay's part is gone after {max(detect):.1f} s at most")
-    last = rows[-1] if rows else {}
-    result = {key: [row[key] for row in rows] for key in last} | {
+    result = {key: [row[key] for row in rows] for key in rows[0]} | {
         "bytes_per_s": round(whole["bytes"]), "members_bytes_per_s": round(members["members"]),
         "cpu_share": round(whole["cpu"], 5), "memory_kb": round(whole["memory_kb"]), "cost_relays": relays,
         "cost_nodes": nodes, "false_deaths": deaths, "member_seeds": len(days), "agreed_s": agreed,
