Look at the nodes that are told of, not at all of them, and work out no share where nobody talks

OthersBook.news walked over all servers at each word of the others (up to ten a second, where nodes are probed), and shares() was worked out anew for each server that is drawn, also without peers. Change: an index by key, made anew once a second or as servers come and go; the share without word is kept when it changes.

--- a/yarrowspindle/others.py
+++ b/yarrowspindle/others.py
@@ -15,20 +15,28 @@
 FRESH_MS, OLD_MS = 2000.0, 4500.0
 MOVERS = 2  # balancers that move connections on one beat
 TURN_BEAT_MS = 500.0
+INDEX_MS = 1000.0
 TURN_MS = 2000.0  # a server that nobody probed for so long is anybody's turn
 
 
 class OthersBook:
     def __init__(self, balancers: int) -> None:
-        self.settled = balancers
+        self.settled, self.alike = balancers, float(balancers)
+        self.index: dict[int, Server] = {}  # by key; made anew once a second, or when servers come or go
+        self.index_at, self.index_of = -inf, 0
         self.told_at, self.told_age = -inf, inf
         self.heard, self.rank, self.members = 0, 0, 1
         self.holds: dict[int, tuple[int, float]] = {}
         self.shunned: frozenset[int] = frozenset()
 
+    def retuned(self, balancers: int) -> None:
+        self.settled = balancers
+        self.alike = float(max(self.settled, self.members))
+
     def told(self, event: Others, now: float) -> None:
         self.told_at, self.told_age, self.heard = now, event.age_ms, event.heard
         self.rank, self.members, self.shunned = event.rank, event.balancers, event.shunned
+        self.alike = float(max(self.settled, self.members))
         for key, held in event.holds.items():
             if held == (0, 0.0):
                 self.holds.pop(key, None)
@@ -37,12 +45,11 @@
 
     def shares(self, now: float) -> tuple[float, float]:
         """By how much a load told of counts, over an own one; and how many balancers are taken to hold what we hold."""
-        alike = float(max(self.settled, self.members))
-        if not self.heard:
-            return 0.0, alike
+        if not self.heard:  # for each server that is drawn, also where nobody talks: nothing is worked out here
+            return 0.0, self.alike
         weight = (OLD_MS - self.told_age - (now - self.told_at)) / (OLD_MS - FRESH_MS)
         weight = min(max(weight, 0.0), 1.0)
-        alike = max(1.0, alike - weight * self.heard)
+        alike = max(1.0, self.alike - weight * self.heard)
         return weight / alike, alike
 
     def load(self, server: Server) -> float:
@@ -72,8 +79,13 @@
         report that is newer than ours (use, connections, when)."""
         if not event.came and not event.reports:
             return
-        for server in servers.values():
-            key, report = server.id & SERVER_KEY, None
+        if now >= self.index_at + INDEX_MS or self.index_of != len(servers):
+            self.index = {server.id & SERVER_KEY: server for server in servers.values()}
+            self.index_at, self.index_of = now, len(servers)
+        for key in sorted(event.came.keys() | event.reports.keys()):  # keys of groups are no servers'
+            server, report = self.index.get(key), None
+            if server is None:
+                continue
             used, holds, age = event.reports.get(key, (0.0, 0.0, inf))
             if now - age > server.asked_at:
                 server.asked_at = now - age
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -93,7 +93,8 @@
         return self.out
 
     def _retuned(self, event: Retuned) -> None:
-        self.settings, self.others.settled = event.settings, event.settings.balancers
+        self.settings = event.settings
+        self.others.retuned(event.settings.balancers)
         if self.estimates is not None:
             self.estimates.retuned(event.settings)
 
