Take out what peers and the fault network wrote twice, or never used

Change: the tests take the lab's settings; the rest is gone or named (NACK_PART). No decision but the last changes: one that left after it was held dead is known as left.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -15,16 +15,12 @@
 from pathlib import Path
 from typing import Any
 
+from yarrowspindle.lab.processes.world import SETTINGS as LAB
+
 ROOT = Path(__file__).resolve().parent.parent
 WAIT_S = 10.0  # no test waits longer for anything; none waits for a time to pass
-SETTINGS: dict[str, Any] = {
-    "azs": ["a", "b"], "zone": 0, "skus": ["m"], "balancers": 1, "slot_no": 0, "discovery": "subscribe", "step_ms": 2.0,
-    "categories": [{"name": "chat", "slo_ms": 800.0, "deadline_ms": 2000.0, "effect": "pure", "group": "all",
-                    "window_ms": 0.0, "points": 1.0, "stream": True}],
-    "realms": [{"name": "acme", "quota_per_s": 5.0, "share": 1.0}],
-    "family_info": {"message_aim_ms": [150.0], "tells_load": True, "tells_delay": True},
-    "limits": {"max_attempts": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0,
-               "connect_timeout_ms": 250.0, "probing": True},
+SETTINGS: dict[str, Any] = LAB | {
+    "zone": 0, "balancers": 1, "slot_no": 0,
     "obligations": {"drain_grace_ms": 400.0, "answer_slack_ms": 8.0, "ask_within_ms": 200.0, "cold_share": 0.31,
                     "cold_ms": 9000.0, "fall_multiple": 3.0, "fall_ms": 1500.0},
 }  # fmt: skip
--- a/yarrowspindle/lab/processes/proxy.py
+++ b/yarrowspindle/lab/processes/proxy.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
-from typing import Any, cast
+from typing import cast
 
 import msgspec
 
@@ -25,7 +24,6 @@
                  seen: Callable[[str, str, bytes, int], None]) -> None:  # fmt: skip
         self.target, self.inside, self.parties, self.ways, self.seen = target, inside, parties, ways, seen
         self.transport: asyncio.DatagramTransport | None = None
-        self.back = asyncio.DatagramProtocol()
 
     async def open(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
@@ -75,12 +73,12 @@
 class Pipe:
     """One connection through a proxy."""
 
-    __slots__ = ("proxy", "near", "far", "held", "first", "job", "near_over", "tasks")
+    __slots__ = ("proxy", "near", "far", "first", "job")
 
     def __init__(self, proxy: TcpProxy, near: asyncio.StreamWriter) -> None:
         self.proxy, self.near = proxy, near
         self.far: asyncio.StreamWriter | None = None
-        self.first, self.job, self.near_over = b"", "", False
+        self.first, self.job = b"", ""
 
 
 class TcpProxy:
@@ -92,12 +90,10 @@
     def __init__(self, source: str, target: str, inside: Address, ways: Ways) -> None:
         self.source, self.target, self.inside, self.ways = source, target, inside, ways
         self.server: asyncio.Server | None = None
-        self.counts: Counter[str] = Counter()
         self.pipes: set[Pipe] = set()
         self.hears: Callable[[Pipe, bytes], None] = lambda pipe, line: None
         self.ended: Callable[[Pipe], None] = lambda pipe: None
         self.said: Callable[[Pipe, bytes], None] = lambda pipe, data: None
-        self.tasks: set[asyncio.Task[Any]] = set()
 
     async def open(self, address: Address) -> None:
         self.server = await asyncio.start_server(self._take, *address, backlog=256)
@@ -124,7 +120,6 @@
             try:
                 await self._forth(pipe, reader)
             finally:
-                pipe.near_over = True
                 self.ended(pipe)
                 if back is not None and not self.cut:
                     await asyncio.wait([back], timeout=0.05)
--- a/yarrowspindle/peers/core.py
+++ b/yarrowspindle/peers/core.py
@@ -33,7 +33,7 @@
     Tell,
     Wanted,
 )
-from yarrowspindle.peers.detector import HELPERS, Detector, Probe
+from yarrowspindle.peers.detector import HELPERS, NACK_PART, Detector, Probe
 from yarrowspindle.peers.members import Change, Member, Members, rumour_bytes
 from yarrowspindle.peers.messages import Came, Effect, Event, Leave, Look, Note, Own, Send, Told, Wake, Woke
 from yarrowspindle.peers.settings import PeerSettings
@@ -68,7 +68,7 @@
         self.counts: Counter[str] = Counter()
         self.numbers = 0
         self.pings: dict[int, tuple[str, float]] = {}  # number -> who was asked, when
-        self.asked_for: dict[int, tuple[str, int, str]] = {}  # own number -> who asked, its number, of whom
+        self.asked_for: dict[int, tuple[str, int]] = {}  # own number -> who asked, under which number of its own
         self.wholes, self.wholes_at = WHOLES_PER_S, now
         self.whole_to: dict[tuple[str, str], float] = {}
         self.sources: Counter[Address] = Counter()
@@ -261,9 +261,9 @@
             return
         number = self._number()
         self.pings[number] = (event.to, self.now)
-        self.asked_for[number] = (datagram.name, event.number, event.to)
+        self.asked_for[number] = (datagram.name, event.number)
         self._send((event.host, event.port), Ping(number, event.to, self.members.view), first=event.to)
-        self._wake(0.6 * self.detector.probe_ms * (1.0 - 0.4), (NACK, number))
+        self._wake(NACK_PART * self.detector.probe_ms, (NACK, number))
 
     def _nack(self, member: Member, datagram: Datagram, nack: Nack) -> None:
         probe = self.detector.probe
--- a/yarrowspindle/peers/detector.py
+++ b/yarrowspindle/peers/detector.py
@@ -14,6 +14,7 @@
 HELPERS = 3
 SUSPICION_MOST = 3.0  # times the shortest suspicion, where nobody else shares it
 DIRECT_PART = 0.4  # of a probe's time; the rest is for the helpers
+NACK_PART = 0.36  # after which a helper says that it has no answer either: well within that rest
 STOOD_PART = 0.5  # a beat that comes so late, in probe times: this relay stood still
 
 
--- a/yarrowspindle/peers/members.py
+++ b/yarrowspindle/peers/members.py
@@ -98,11 +98,8 @@
             return self._changed(member, None, word)
         if (word.life, word.turn, word.state) <= (known.life, known.turn, known.state):
             return None
-        if word.life == known.life:
-            if known.state == LEFT:
-                return None  # it said itself that it ends: no word of that life counts any more
-            if known.state == DEAD and word.turn == known.turn:
-                return None
+        if word.life == known.life and known.state == LEFT:
+            return None  # it said itself that it ends: no word of that life counts any more
         was, new_life = known.state, word.life > known.life
         known.address = (word.host, word.port)
         known.life, known.turn, known.state, known.since = word.life, word.turn, word.state, now
