--- a/yarrowspindle/lab/model/planted.py
+++ b/yarrowspindle/lab/model/planted.py
@@ -38,8 +38,8 @@
 class HidesWhatItAccepted(Voter[TurnState]):
     """Promises with the state that it started from."""
 
-    def __init__(self, kept: Kept[TurnState], store: Any) -> None:
-        super().__init__(kept, store)
+    def __init__(self, kept: Kept[TurnState], store: Any, now: Any) -> None:
+        super().__init__(kept, store, now)
         self.start = kept.state
 
     def told(self, message: Prepare | Accept[TurnState]) -> Promise[TurnState] | Accepted | Refused[TurnState]:
--- a/yarrowspindle/lab/model/turning.py
+++ b/yarrowspindle/lab/model/turning.py
@@ -1,6 +1,8 @@
-"""Turns on the virtual clock: relays that vote, propose, hold connections, die and come back; and what may never be.
+"""Turns on the virtual clock: relays that vote, propose, hold connections, die and come back; machines that die;
+several operators; and what may never be.
 
-The checker sees committed states as they are taken up, and what relays hold and place; it looks into no core.
+The checker sees committed states as they are taken up, and what relays hold and place; it looks into no core. What a
+day brings beside the faults is drawn from its seed (`Plan`). Each relay has a clock of its own, minutes apart.
 """
 
 from __future__ import annotations
@@ -10,24 +12,32 @@
 from random import Random
 from typing import Any
 
+from yarrowspindle.interface import State
 from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
 from yarrowspindle.lab.model.clock import VirtualClock
+from yarrowspindle.turns.codec import decode, encode
 from yarrowspindle.turns.core import Came, Fleet, Order, Send, Took, Turns, Vote, Wake, Woke
-from yarrowspindle.turns.register import NONE, Kept, Proposer, Voter
-from yarrowspindle.turns.state import FREE, Seen, TurnState, Wish
+from yarrowspindle.turns.parcels import Parcels
+from yarrowspindle.turns.register import NONE, Accept, Accepted, Kept, Prepare, Promise, Proposer, Voter
+from yarrowspindle.turns.state import EMPTYING, FREE, QUEUED, TurnState, Wish
+from yarrowspindle.turns.watch import TROUBLE_MS, FleetWatch, Look
 
 LIFE_MS, MOVED_MS = 3000.0, 400.0  # of a connection, and of one that is asked to move
 STEP_MS = 100.0
+COLD_MS = 1500.0
 PLACED_PART = 0.3  # of a relay's events that a connection comes right after
 FIRST = "first"
 
 
 @dataclass(slots=True)
 class TurnDay:
+    """rolled_back: turns that were given back unemptied."""
+
     violations: list[str] = field(default_factory=list)
     stuck: list[str] = field(default_factory=list)
     turns: int = 0
     most_out: int = 0
+    rolled_back: int = 0
     took_s: float = 0.0
     faults: list[Fault] = field(default_factory=list)
 
@@ -35,8 +45,9 @@
 class Checker:
     """Rules on what relays took up, held and placed."""
 
-    def __init__(self, most: int, zone_most: int, floor: float, seen: dict[str, Seen]) -> None:
-        self.most, self.zone_most, self.floor, self.seen = most, zone_most, floor, seen
+    def __init__(self, wish: Wish, zones: dict[str, int], ready_of_late: Callable[[], set[str]]) -> None:
+        self.wish, self.zones, self.ready_of_late = wish, zones, ready_of_late
+        self.rolled_back = 0
         self.violations: list[str] = []
         self.versions: dict[int, TurnState] = {}
         self.turns: dict[int, str] = {}
@@ -57,13 +68,17 @@
         if state.version > self.newest.version:
             if state.turn < self.newest.turn:
                 self.broken(f"turn numbers went back from {self.newest.turn} to {state.turn}")
+            if state.turn > self.newest.turn:
+                # Who died a moment ago is not the turn's doing.
+                left = len(self.ready_of_late() - set(state.out))
+                if left < self.wish.floor:
+                    self.broken(f"turn {state.turn} leaves {left} ready, the floor is {self.wish.floor:g}")
+            self.rolled_back += sum(o.stage == EMPTYING and m not in state.out for m, o in self.newest.out.items())
             self.newest = state
         self.most_out = max(self.most_out, len(state.out))
-        zones = [self.seen[machine].zone for machine in state.out]
-        if len(zones) > self.most or any(zones.count(zone) > self.zone_most for zone in zones):
+        zones = [self.zones[machine] for machine in state.out]
+        if len(zones) > self.wish.most or any(zones.count(zone) > self.wish.most_zone for zone in zones):
             self.broken(f"{len(zones)} out at once, in zones {sorted(zones)}")
-        if sum(s.capacity for m, s in self.seen.items() if m not in state.out) < self.floor:
-            self.broken("below the floor")
 
     def uses(self, relay: str, machine: str, how: str) -> None:
         """A relay places or holds a connection there now."""
@@ -85,21 +100,52 @@
     lies: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What a day brings beside its faults. dies: a machine ends at this time (below 0: none does), and is back under a
+    new start 15 s later; clash: a second wish that names some of the same machines, at another relay; cancel_s: when an
+    operator cancels; joins: a relay comes in mid-turn, another that came so ends for good, a voter is taken in and one
+    out; wired: messages go as bytes, in parcels. dies_at: a relay dies at its n-th step of this kind."""
+
+    busy: float = 1.0
+    dies_s: float = -1.0
+    clash: bool = False
+    cancel_s: float = -1.0
+    joins: bool = False
+    wired: bool = False
+    dies_at: tuple[str, int] = ("", 0)
+
+    @staticmethod
+    def of(seed: int) -> Plan:
+        drawn = Random(f"plan {seed}")
+        # Machines that hold little are the ones that a relay may take for empty a moment too soon.
+        return Plan(drawn.choice((1.0, 0.2, 0.05)), drawn.uniform(2.0, 12.0) if drawn.random() < 0.25 else -1.0,
+                    drawn.random() < 0.2, drawn.uniform(1.0, 10.0) if drawn.random() < 0.15 else -1.0,
+                    drawn.random() < 0.2, drawn.random() < 0.1)  # fmt: skip
+
+
+STEPS = {"prepare": Prepare, "promise": Promise, "accept": Accept, "accepted": Accepted, "committed": Took}
+
+
 class TurnRelay:
     """A process of a relay; its file outlives it where it is kept."""
 
     def __init__(self, world: TurnWorld, name: str) -> None:
         self.world, self.name = world, name
         self.alive, self.stalled_until = True, 0.0
+        self.ahead_ms = world.random.uniform(0.0, 600_000.0)  # of its clock
         self.held: dict[str, int] = {}
-        self.voter = world.parts.voter(world.files[name], world.storing(name))
-        kept = self.voter.kept
-        self.core = world.parts.turns(name, world.first, kept.identity, kept.state, world.random.randrange(1 << 30),
-                                      self.now(), world.parts.proposer)  # fmt: skip
+        self.watch = FleetWatch(COLD_MS, 1.0)
+        self.parcels = Parcels(world.random.getrandbits(40))
+        kept = world.files.get(name)
+        self.voter = world.parts.voter(kept, world.storing(name), self.now) if kept is not None else None
+        self.core = world.parts.turns(name, world.first, kept.identity if kept is not None else "",
+                                      kept.state if kept is not None else world.first,
+                                      world.random.randrange(1 << 30), self.now(), world.parts.proposer)  # fmt: skip
         self.log: list[tuple[float, str]] = []
 
     def now(self) -> float:
-        return self.world.clock.now() - self.world.clock.start
+        return self.world.clock.now() - self.world.clock.start + self.ahead_ms
 
     def post(self, event: Any) -> None:
         if not self.alive:
@@ -109,26 +155,48 @@
             self.world.clock.after(left + self.world.random.random(), self.post, event)
             return
         self.carry_out(self.core.step(self.now(), event))
-        if self.world.random.random() < PLACED_PART * self.world.busy:
+        if self.world.random.random() < PLACED_PART * self.world.plan.busy:
             self.place()
 
     def carry_out(self, effects: Sequence[Any]) -> None:
         for effect in effects:
+            if not self.alive:
+                return
             if isinstance(effect, Send):
-                self.world.send(self.name, effect.to, effect.message)
+                self.send(effect.to, effect.message)
             elif isinstance(effect, Wake):
                 self.world.clock.after(effect.delay_ms, self.post, Woke(effect.what))
             elif isinstance(effect, Vote):
-                self.world.send(self.name, effect.source, self.voter.told(effect.message))
+                if self.voter is not None:
+                    self.send(effect.source, self.voter.told(effect.message))
             elif isinstance(effect, Took):
                 self.world.checker.took(self.name, effect.state)
+                self.world.step(self, effect)
             else:
                 self.log.append((self.now(), effect.text))
 
+    def send(self, to: str, message: Any) -> None:
+        if not self.world.plan.wired:
+            self.world.send(self.name, to, message)
+        else:
+            for part in self.parcels.cut(to, encode(message)):
+                self.world.send(self.name, to, part)
+        self.world.step(self, message)
+
+    def came(self, source: str, message: Any) -> None:
+        if not self.world.plan.wired:
+            self.post(Came(source, message))
+        elif self.alive:
+            whole, back = self.parcels.came(self.now(), source, message)
+            for part in back:
+                self.world.send(self.name, source, part)
+            if whole is not None:
+                self.post(Came(source, decode(whole)))
+
     def place(self) -> None:
         """A connection comes, at any moment between two events."""
         machine = self.world.random.choice(self.world.machines)
-        if self.core.may_place(machine):
+        if self.alive and self.core.may_place(machine) and self.world.is_up(machine):
             self.world.checker.uses(self.name, machine, "places")
             self.held[machine] = self.held.get(machine, 0) + 1
 
@@ -139,36 +207,74 @@
         random, world = self.world.random, self.world
         for machine in list(self.held):
             emptying = self.core.taken.keeps_off(machine)
-            part = STEP_MS / (MOVED_MS if emptying else LIFE_MS)
+            part = 1.0 if not world.is_up(machine) else STEP_MS / (MOVED_MS if emptying else LIFE_MS)
             self.held[machine] -= sum(random.random() < part for _ in range(self.held[machine]))
             if not self.held[machine]:
                 del self.held[machine]
         for _ in range(3):
-            if random.random() < world.busy:
+            if random.random() < world.plan.busy:
                 self.place()
         for machine in self.held:
             world.checker.uses(self.name, machine, "holds")
-        self.post(Fleet(frozenset(self.held), world.seen, world.there()))
+        for to, part_ in self.parcels.due(self.now()):
+            world.send(self.name, to, part_)
+        looks = [Look(m, n % 2, 1.0, State.READY if world.is_up(m) else State.GONE, world.starts[m])
+                 for n, m in enumerate(world.machines)]  # fmt: skip
+        seen, trouble = self.watch.look(self.now(), looks, self.core.taken)
+        self.post(Fleet(frozenset(self.held), seen, world.there(), trouble))
 
 
 class TurnWorld:
-    def __init__(self, relays: int, machines: int, seed: int, parts: Parts | None = None) -> None:
+    def __init__(self, relays: int, machines: int, seed: int, parts: Parts | None = None,
+                 plan: Plan | None = None) -> None:  # fmt: skip
         self.clock, self.random = VirtualClock(), Random(f"turns {seed}")
-        self.seed, self.parts = seed, parts or Parts()
+        self.seed, self.parts, self.plan = seed, parts or Parts(), plan or Plan.of(seed)
         self.ways = Ways(seed)
-        # Machines that hold little are the ones that a relay may take for empty a moment too soon.
-        self.busy = (1.0, 0.2, 0.05)[seed // 3 % 3]
-        self.seen = {f"m{n}": Seen(n % 2, 1.0, True) for n in range(machines)}
-        self.machines = tuple(self.seen)
-        self.wish = Wish(tuple(sorted(self.seen, key=lambda m: (self.seen[m].zone, m))), 2, 1, machines - 2.0)
+        self.machines = tuple(f"m{n}" for n in range(machines))
+        self.zones = {machine: n % 2 for n, machine in enumerate(self.machines)}
+        self.starts = dict.fromkeys(self.machines, 0.0)
+        self.downs: dict[str, float] = {}  # machine -> since when it is dead
+        self.wish = Wish(tuple(sorted(self.machines, key=lambda m: (self.zones[m], m))), 2, 1, machines - 2.0)
+        self.wishes = [self.wish]
+        if self.plan.clash:
+            self.wishes.append(replace(self.wish, machines=self.wish.machines[::2], order="fewest"))
         self.names = relay_names(relays)
         self.first = self.parts.state({name: FIRST for name in self.names})
         self.files: dict[str, Kept[TurnState]] = {name: Kept(FIRST, NONE, NONE, self.first) for name in self.names}
-        self.checker = Checker(self.wish.most, self.wish.most_zone, self.wish.floor, self.seen)
+        self.checker = Checker(self.wish, self.zones, self.ready_of_late)
         self.relays: dict[str, TurnRelay] = {}
+        self.steps = 0
         for name in self.names:
             self.start(name)
         self.clock.after(STEP_MS, self._step)
+        if self.plan.dies_s >= 0.0:
+            machine = self.random.choice(self.machines)
+            self.clock.after(1000.0 * self.plan.dies_s, self.end, machine)
+            self.clock.after(1000.0 * self.plan.dies_s + 15_000.0, self.begin, machine)
+        if self.plan.cancel_s >= 0.0:
+            self.clock.after(1000.0 * self.plan.cancel_s, self._cancel)
+        if self.plan.joins:
+            self.clock.after(self.random.uniform(1000.0, 8000.0), self._join)
+
+    # --- machines -------------------------------------------------------------------------------
+
+    def is_up(self, machine: str) -> bool:
+        return machine not in self.downs
+
+    def ready_of_late(self) -> set[str]:
+        """Those that were up some time ago: a turn that was agreed on before a machine died may be heard of after it,
+        where its proposer died too, and is taken back then."""
+        now = self.clock.seconds
+        return {m for m in self.machines if m not in self.downs or self.downs[m] > now - TROUBLE_MS / 1000.0}
+
+    def end(self, machine: str) -> None:
+        self.downs[machine] = self.clock.seconds
+
+    def begin(self, machine: str) -> None:
+        del self.downs[machine]
+        self.starts[machine] = self.clock.now()
+
+    # --- relays ---------------------------------------------------------------------------------
 
     def storing(self, name: str) -> Callable[[Kept[TurnState]], None]:
         def store(kept: Kept[TurnState]) -> None:
@@ -180,8 +286,6 @@
     def there(self) -> tuple[str, ...]:
         return tuple(sorted(name for name, relay in self.relays.items() if relay.alive))
 
-    # --- processes ------------------------------------------------------------------------------
-
     def start(self, name: str) -> None:
         relay = self.relays[name] = TurnRelay(self, name)
         relay.carry_out(relay.core.take_effects())
@@ -195,6 +299,15 @@
             identity = FIRST if self.parts.lies else f"file {self.random.getrandbits(40):x}"
             self.files[name] = Kept(identity, NONE, NONE, self.first)
 
+    def step(self, relay: TurnRelay, what: Any) -> None:
+        """The relay that comes to a step first, the n-th time, dies at it, and starts again after a second."""
+        kind, number = self.plan.dies_at
+        if kind and isinstance(what, STEPS[kind]):
+            self.steps += 1
+            if self.steps == number:
+                self.kill(relay.name)
+                self.clock.after(1000.0, self.start, relay.name)
+
     def send(self, source: str, target: str, message: Any) -> None:
         for late, copy in self.ways.fate(source, target, b"x"):
             if copy == b"x":  # one that was changed is dropped by its sum
@@ -203,7 +316,37 @@
     def _arrive(self, source: str, target: str, message: Any) -> None:
         relay = self.relays.get(target)
         if relay is not None:
-            relay.post(Came(source, message))
+            relay.came(source, message)
+
+    def _join(self) -> None:
+        """Two relays come that do not vote; one ends for good and an operator says so; the other votes in another's
+        place."""
+        self.start("s0")
+        self.start("s1")
+
+        def ends() -> None:
+            self.kill("s0")
+            self.clock.after(2000.0, self._ended, "s0")
+            self.files["s1"] = Kept(f"file {self.random.getrandbits(40):x}", NONE, NONE, self.first)
+            if self.relays["s1"].alive:
+                self.kill("s1")
+                self.start("s1")
+                self.relays["s1"].post(Order("voter", "s1", self.files["s1"].identity))
+
+        self.clock.after(4000.0, ends)
+        self.clock.after(12_000.0, lambda: self.order(Order("no voter", self.names[-1])))
+
+    def _ended(self, name: str) -> None:
+        """Until it stands in the state: an operator looks."""
+        life = self.checker.newest.relays.get(name)
+        if life is not None:
+            self.order(Order("ended", name, life))
+        self.clock.after(2000.0, self._ended, name)  # its word may have been on the way when it ended
+
+    def _cancel(self) -> None:
+        for number, request in self.checker.newest.requests.items():
+            if request.state == QUEUED:
+                self.order(Order("cancel", number, request.at))
 
     def _step(self) -> None:
         self.clock.after(STEP_MS, self._step)
@@ -213,6 +356,8 @@
         newest = self.checker.newest
         for machine, out in newest.out.items():
             if out.stage == FREE and self.random.random() < 0.1:
+                if self.is_up(machine) and self.random.random() < 0.3:  # a new kernel
+                    self.starts[machine] = self.clock.now()
                 self.order(Order("done", machine, out.turn))
 
     def order(self, order: Order) -> None:
@@ -242,31 +387,37 @@
     def run(self, seconds: float) -> None:
         self.clock.run_until(self.clock.time + 1000.0 * seconds)
 
+    def asked(self) -> bool:
+        return any(wish.id in self.checker.newest.requests for wish in self.wishes)
+
     def over(self) -> bool:
-        """Every wanted machine has been out and is back."""
+        """Every wanted machine has been out and is back, or somebody cancelled that."""
         state = self.checker.newest
-        request = state.requests.get(self.wish.id)
-        return request is not None and request.state != "queued" and not state.out
+        return self.asked() and all(r.state != QUEUED for r in state.requests.values()) and not state.out
 
 
 def play_turns(relays: int, machines: int, seed: int, words: Sequence[str], faults_s: float = 12.0,
-               within_s: float = 90.0, lose: bool = False, parts: Parts | None = None) -> TurnDay:  # fmt: skip
+               within_s: float = 120.0, lose: bool = False, parts: Parts | None = None, plan: Plan | None = None,
+               faults: Sequence[Fault] | None = None) -> TurnDay:  # fmt: skip
     """All machines once round, with faults in the first seconds; everything must be back some time after they end."""
-    world = TurnWorld(relays, machines, seed, parts)
-    day = TurnDay(faults=schedule(words, world.names, ["n0"], seed, 0.3, faults_s, 20.0))
+    world = TurnWorld(relays, machines, seed, parts, plan)
+    if faults is None:
+        faults = schedule(words, world.names, ["n0"], seed, 0.3, faults_s, 20.0)
+    day = TurnDay(faults=list(faults))
     world.apply(day.faults, lose)
     world.run(0.5)
-    world.order(Order("ask", world.wish, 0))
-    # Two operators at two relays: the same wish is one.
-    world.order(Order("ask", replace(world.wish), 0))
+    # Two operators at two relays: the same wish is one, and of two that clash one is refused.
+    for wish in (*world.wishes, replace(world.wish)):
+        world.order(Order("ask", wish, 0))
     while world.clock.seconds < faults_s + within_s and not world.over() and not world.checker.violations:
         world.run(0.5)
-        if world.clock.seconds > 2.0 and world.wish.id not in world.checker.newest.requests:
+        if world.clock.seconds > 2.0 and not world.asked():
             world.order(Order("ask", world.wish, 0))  # whoever had it died with it
-    day.violations, day.most_out = world.checker.violations, world.checker.most_out
-    day.turns, day.took_s = world.checker.newest.turn, world.clock.seconds
+    checker = world.checker
+    day.violations, day.most_out, day.rolled_back = checker.violations, checker.most_out, checker.rolled_back
+    day.turns, day.took_s = checker.newest.turn, world.clock.seconds
     if not world.over() and not day.violations:
-        state = world.checker.newest
-        day.stuck.append(f"out {sorted(state.out)}, waits for "
-                         f"{ {m: state.waits_for(m) for m in state.out} }, paused {state.paused!r}")  # fmt: skip
+        state = checker.newest
+        day.stuck.append(f"out {state.out}, waits for { {m: state.waits_for(m) for m in state.out} }, paused "
+                         f"{state.paused!r}, {[(r.state, r.waiting) for r in state.requests.values()]}")  # fmt: skip
     return day
--- a/yarrowspindle/lab/processes/turning.py
+++ b/yarrowspindle/lab/processes/turning.py
@@ -65,8 +65,8 @@
         lines = [str(self.report)]
         how = "over" if self.over else "NOT OVER: " + "; ".join(self.reasons)
         lines.append(f"  turns: {self.turns} for {self.machines} machines in {self.took_s:.1f} s, "
-                     f"{self.per_machine_s:.2f} s each ({self.least_s:.2f} s least), at most {self.most_out} out, given back unemptied "
-                     f"{self.rolled_back}, {how}")  # fmt: skip
+                     f"{self.per_machine_s:.2f} s each ({self.least_s:.2f} s least), at most {self.most_out} out, "
+                     f"given back unemptied {self.rolled_back}, {how}")  # fmt: skip
         return "\n".join(lines)
 
 
--- a/yarrowspindle/program/turning.py
+++ b/yarrowspindle/program/turning.py
@@ -132,7 +132,7 @@
             return False
 
     def _vote_with(self, kept: Kept[TurnState]) -> None:
-        self.voter = Voter(kept, self.file.store)
+        self.voter = Voter(kept, self.file.store, self._now)
         self.core.identity = kept.identity
         logger.info("turns: {} has its voter's file, promised {}, accepted state {}", self.name, kept.promised[0],
                     kept.state.version)  # fmt: skip
--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -20,6 +20,7 @@
 SAY_MS = 600.0  # what was said and is not written after so long is written by the relay itself
 TELL_MS = 500.0  # who has not confirmed is told the state again this often
 BACK_MOST_MS = 1200.0
+FRESH_MS = 1000.0  # nothing is granted by a look at the machines that is older
 CALM_MS = 10_000.0  # without trouble, until turns are granted again
 BEAT = "beat"
 WANTS_MOST = 64
@@ -149,6 +150,7 @@
         self.began = self.read_at = self.tell_at = 0.0
         self.calm_since = now
         self.wait_until, self.failures = now, 0
+        self.fleet_at, self.steady_from = -FRESH_MS, now
         self.taken = first
         self.looked = False  # what this relay holds was told after it took up the newest state
         self.why = ""  # the last round came to nothing
@@ -159,7 +161,9 @@
         if isinstance(event, Came):
             self._came(event)
         elif isinstance(event, Fleet):
-            self.fleet, self.looked = event, True
+            if self.now > self.fleet_at + FRESH_MS:
+                self.steady_from = self.now + FRESH_MS  # after a stall the list's newest word may still wait to be read
+            self.fleet, self.fleet_at, self.looked = event, self.now, True
             if event.trouble:
                 self.calm_since = self.now
         elif isinstance(event, Order):
@@ -305,17 +309,33 @@
         steps: list[Callable[[TurnState], TurnState | None]] = []
         if not self.life:
             steps.append(self._registers)
+        steps.append(self._revises)
         steps += [lambda s, order=order: self._ordered(s, order) for order in self.orders]  # type: ignore[misc]
         steps += [self._confirms, self._votes_again]
         if self._duty():
             steps += [lambda s, n=name, w=word: s.confirmed(n, w.life, w.turns)  # type: ignore[misc]
                       for name, word in self.said.items()]  # fmt: skip
-            steps += [self._troubled, lambda s: s.advanced(self.fleet.seen)]
+            steps += [self._troubled, self._advances]
         found: TurnState = state
         for step in steps:
             found = step(found) or found
         return found if found.version > state.version else None
 
+    @property
+    def _fresh(self) -> bool:
+        return self.now <= self.fleet_at + FRESH_MS and self.now >= self.steady_from
+
+    def _advances(self, state: TurnState) -> TurnState | None:
+        return state.advanced(self.fleet.seen) if self._fresh else None
+
+    def _revises(self, state: TurnState) -> TurnState | None:
+        """Turns that a minority holds since a proposer failed, who knows how long ago: they become agreed on by this
+        round, so they must fit what is there now."""
+        doubtful = [m for m, out in state.out.items() if out.stage == EMPTYING and out.turn > self.state.turn]
+        if not doubtful or (self._fresh and state.keeps_floors(self.fleet.seen)):
+            return None
+        return state.returned(doubtful)
+
     def _registers(self, state: TurnState) -> TurnState | None:
         found = state.registered(self.name)
         self.registering = found.relays[self.name] if found is not None else 0
--- a/yarrowspindle/turns/register.py
+++ b/yarrowspindle/turns/register.py
@@ -13,6 +13,7 @@
 
 Ballot = tuple[int, str]  # a number and who proposes under it
 NONE: Ballot = (0, "")
+LATE_MS = 1000.0
 
 
 class Held(Protocol):
@@ -96,10 +97,14 @@
 
 
 class Voter(Generic[S]):
-    """`store` writes and syncs; it raises where that fails, and then nothing was promised and nothing is answered."""
+    """`store` writes and syncs; it raises where that fails, and then nothing was promised and nothing is answered.
 
-    def __init__(self, kept: Kept[S], store: Callable[[Kept[S]], None]) -> None:
-        self.kept, self.store = kept, store
+    now: this voter's own milliseconds. Its proposer gave up long ago what comes so late after the promise, and what it
+    changes may fit the world no more. That is no matter of safety: whoever is refused tries again."""
+
+    def __init__(self, kept: Kept[S], store: Callable[[Kept[S]], None], now: Callable[[], float] = lambda: 0.0) -> None:
+        self.kept, self.store, self.now = kept, store, now
+        self.promised_at = -LATE_MS
 
     def _keep(self, kept: Kept[S]) -> None:
         self.store(kept)
@@ -115,8 +120,10 @@
             if message.ballot <= kept.promised:
                 return Refused(message.ballot, kept.promised)
             self._keep(replace(kept, promised=message.ballot))
+            self.promised_at = self.now()
             return Promise(message.ballot, kept.identity, kept.accepted, kept.state)
-        if message.ballot < kept.promised:
+        late = message.ballot == kept.promised > kept.accepted and self.now() > self.promised_at + LATE_MS
+        if message.ballot < kept.promised or late:
             return Refused(message.ballot, kept.promised)
         self._keep(Kept(kept.identity, message.ballot, message.ballot, message.state))
         return Accepted(message.ballot, kept.identity)
@@ -163,6 +170,10 @@
 Effect = Send[S] | Committed[S] | Failed
 
 
+def unchanged(state: S) -> S | None:
+    return None
+
+
 class Proposer(Generic[S]):
     """One round at a time. known: the newest committed state. guide: the state by whose voters the next round goes,
     which may be one that was never committed: where it was, every majority has a voter that says so. A change is a
@@ -173,7 +184,7 @@
         self.name, self.known, self.guide, self.random = name, known, known, random
         self.highest = 0
         self.round: Round[S] | None = None
-        self.change: Callable[[S], S | None] = lambda state: None
+        self.change: Callable[[S], S | None] = unchanged
 
     def start(self, change: Callable[[S], S | None]) -> list[Effect[S]]:
         """Reads, and writes what the change makes of it. A round that is under way is given up."""
@@ -242,6 +253,8 @@
         if dict(state.voters) != dict(now.base.voters):
             now.newer = state
             return self.give_up("another voter set")
+        if now.newer is None and all(p.accepted == newest.accepted for p in now.promises.values()):
+            self.learned(state)  # a majority has accepted it: it is committed, and the change may know that
         wanted = self.change(state)
         if wanted is None and now.newer is None and all(p.accepted == newest.accepted for p in now.promises.values()):
             self.round = None
--- a/yarrowspindle/turns/state.py
+++ b/yarrowspindle/turns/state.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from math import inf
@@ -257,16 +257,24 @@
     def rolled_back(self, why: str, by_hand: bool = False) -> TurnState | None:
         """Something died, or the fleet is under pressure: the queue stops, and who has not emptied yet is given
         back."""
-        back = {m: o for m, o in self.out.items() if o.stage == EMPTYING}
+        back = [m for m, o in self.out.items() if o.stage == EMPTYING]
         if not back and (self.by_hand or (self.paused and not by_hand)):
             return None
+        paused = self.paused if self.by_hand else why
+        return replace(self.returned(back), by_hand=self.by_hand or by_hand, paused=paused)
+
+    def returned(self, machines: Collection[str]) -> TurnState:
+        """They go back unemptied, to the head of the queue; another turn will have another number."""
         requests = dict(self.requests)
-        for machine, out in back.items():
-            request = requests[out.request]
-            requests[out.request] = replace(request, waiting=(machine, *request.waiting))
-        hand = self.by_hand or by_hand
-        return self.changed(out={m: o for m, o in self.out.items() if m not in back}, requests=requests, by_hand=hand,
-                            paused=self.paused if self.by_hand else why)  # fmt: skip
+        for machine in machines:
+            request = requests[self.out[machine].request]
+            requests[self.out[machine].request] = replace(request, waiting=(machine, *request.waiting))
+        return self.changed(out={m: o for m, o in self.out.items() if m not in machines}, requests=requests)
+
+    def keeps_floors(self, seen: Mapping[str, Seen]) -> bool:
+        """Each machine that empties leaves what its request wants to stay."""
+        floors = [self.requests[o.request].wish.floor for o in self.out.values() if o.stage == EMPTYING]
+        return self.capacity(seen) >= max(floors, default=0.0)
 
     def resumed(self, why: str = "") -> TurnState | None:
         """why: the pause that an operator ends; else only one that is not by hand ends."""
