--- a/yarrowspindle/lab/model/exhaustive.py
+++ b/yarrowspindle/lab/model/exhaustive.py
@@ -1,7 +1,7 @@
 """Every interleaving of a small case, to a depth: three relays that all vote, two machines, messages that may be lost
 (by never coming) or overtake one another, one crash of any relay at any moment, one new connection at any moment.
 
-The real core takes each step. Time is folded away: a beat finds that every wait of its relay is over. A relay's words
+The real core takes each step. Time is folded away: a beat finds every wait of its relay over. A relay's words
 to its own voter arrive at once. A message that changes nothing is not looked at: to lose it is the same. What may not be
 is checked at each state: two committed states of one version, and a connection at a machine that is free.
 """
--- a/yarrowspindle/lab/processes/parties.py
+++ b/yarrowspindle/lab/processes/parties.py
@@ -134,7 +134,8 @@
     """So many that want a connection all the time; one that is served to its end makes room for a new one."""
 
     def __init__(self, checker: Checker, front: Callable[[], tuple[str, Address] | None], random: Random,
-                 deadline_s: float) -> None:  # fmt: skip
+                 deadline_s: float, line_s: float = LINE_S) -> None:  # fmt: skip
+        self.line_s = line_s
         self.checker, self.front, self.random, self.deadline_s = checker, front, random, deadline_s
         self.tasks: list[asyncio.Task[None]] = []
         self.ended = False
@@ -189,7 +190,7 @@
                      writer: asyncio.StreamWriter) -> tuple[str, float]:  # fmt: skip
         while True:
             try:
-                line = (await asyncio.wait_for(reader.readline(), LINE_S)).decode("ascii", "replace").strip()
+                line = (await asyncio.wait_for(reader.readline(), self.line_s)).decode("ascii", "replace").strip()
             except TimeoutError:
                 if not client.answers:
                     if self.checker.overdue(client):
--- a/yarrowspindle/lab/processes/turning.py
+++ b/yarrowspindle/lab/processes/turning.py
@@ -294,9 +294,14 @@
             over.set()
 
         world.tasks.append(asyncio.ensure_future(ended()))
-        await operators.run(over)
+        if run.work:
+            await operators.run(over)
+        else:
+            await asyncio.sleep(out.least_s * run.nodes)
         await asyncio.gather(*inflicted)
+        await asyncio.sleep(run.after_s)
         finish(world, out.report)
-        operators.files()
+        if run.work:
+            operators.files()
         out.report.broken = world.checker.broken
     return out
--- a/yarrowspindle/lab/processes/world.py
+++ b/yarrowspindle/lab/processes/world.py
@@ -20,7 +20,7 @@
 
 from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
 from yarrowspindle.lab.processes.checker import Checker, Terms
-from yarrowspindle.lab.processes.parties import MachineList, Node, Submitters
+from yarrowspindle.lab.processes.parties import LINE_S, MachineList, Node, Submitters
 from yarrowspindle.lab.processes.proxy import DatagramProxy, Pipe, TcpProxy, Views
 from yarrowspindle.program.turn_file import TurnFile
 from yarrowspindle.routing.messages import Address
@@ -54,12 +54,15 @@
     after_s: float = 5.0
     life_s: float = 6.0
     deadline_s: float = 2.0
+    line_s: float = LINE_S
     stall_s: float = 3.0
     peers: bool = True
     nodes_change: bool = True  # one node drains, ends, and comes back cold
     agree_s: float = 12.0  # after the faults by when members agree
     voters: int = 0  # so many of the relays vote on turns for machines out for work; 0: there are no turns
     moves_per_s: float = 100.0  # of all relays together, off machines that empty
+    lose_file: bool = False  # the first voter that is killed loses its file
+    work: bool = True  # machines are taken out; else the same time passes without
     cold_s: float = 3.0
 
     @property
@@ -239,12 +242,14 @@
         self.list = MachineList(self.nodes, lambda relay, node: self.node_doors[relay, node])
         self.relays = [Relay(name, n, self) for n, name in enumerate(relay_names(run.relays))]
         self.voters = tuple(relay.name for relay in self.relays[: run.voters])
+        self.lost = ""  # whose file was
         self.turn_said: Callable[[str, str], None] = lambda relay, text: None  # a relay's log line on a turn
         self.proxies: list[TcpProxy] = []
         self.datagram_proxies: list[DatagramProxy] = []
         self.datagrams: Counter[str] = Counter()
         self.views = Views()
-        self.submitters = Submitters(self.checker, self.front, Random(f"submitters {run.seed}"), run.deadline_s)
+        self.submitters = Submitters(self.checker, self.front, Random(f"submitters {run.seed}"), run.deadline_s,
+                                     run.line_s)  # fmt: skip
         self.tasks: list[asyncio.Task[None]] = []
 
     def now(self) -> float:
@@ -335,6 +340,9 @@
         relay = next((relay for relay in self.relays if fault.one == (relay.name,)), self.relays[0])
         if fault.word == "kill":
             await relay.kill()
+            if self.run.lose_file and not self.lost and relay.name in self.voters:
+                self.lost = relay.name
+                relay.file.path.unlink()
             await asyncio.sleep(fault.for_s)
             await relay.start()
         elif fault.word == "stall":
