--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -116,9 +116,9 @@
 # --- the daemon alone -----------------------------------------------------------------------------
 
 
-def test_nothing_of_peers_is_loaded_without_the_section() -> None:
+def test_nothing_of_peers_or_turns_is_loaded_without_the_section() -> None:
     code = ("import sys, yarrowspindle.program.main, yarrowspindle.program.line_front; "
-            "print([m for m in sys.modules if 'peer' in m or m == 'msgspec'])")  # fmt: skip
+            "print([m for m in sys.modules if 'peer' in m or 'turn' in m or m in ('msgspec', 'click')])")  # fmt: skip
     said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert said.stdout.strip() == "[]"
 
