Let one relay write for the others in turns, and tell what is newest instead of reading it

Cause: each relay read the state by a round of its own every 2 s while something was out, and registered and confirmed by rounds of its own; rounds of many stand in one another's way.

--- a/yarrowspindle/lab/model/turning.py
+++ b/yarrowspindle/lab/model/turning.py
@@ -139,8 +139,8 @@
         self.parcels = Parcels(world.random.getrandbits(40))
         kept = world.files.get(name)
         self.voter = world.parts.voter(kept, world.storing(name), self.now) if kept is not None else None
-        self.core = world.parts.turns(name, world.first, kept.identity if kept is not None else "",
-                                      kept.state if kept is not None else world.first,
+        identity, guide = (kept.identity, kept.state) if kept is not None else ("", world.first)
+        self.core = world.parts.turns(name, f"{world.random.getrandbits(64):x}", world.first, identity, guide,
                                       world.random.randrange(1 << 30), self.now(), world.parts.proposer)  # fmt: skip
         self.log: list[tuple[float, str]] = []
 
--- a/yarrowspindle/program/turning.py
+++ b/yarrowspindle/program/turning.py
@@ -51,7 +51,8 @@
         self.file = TurnFile(settings.directory, self.name, peering.settings.cluster)
         self.first = first_state(settings.voters)
         self.voter: Voter[TurnState] | None = None
-        self.core = Turns(self.name, self.first, "", self.first, int.from_bytes(os.urandom(8), "big"), self._now())
+        seed = int.from_bytes(os.urandom(8), "big")
+        self.core = Turns(self.name, os.urandom(16).hex(), self.first, "", self.first, seed, self._now())
         self.disk = ThreadPoolExecutor(1, "voter")
         self.votes = 0
         self.parcels = Parcels(int.from_bytes(os.urandom(6), "big"))
--- a/yarrowspindle/turns/codec.py
+++ b/yarrowspindle/turns/codec.py
@@ -10,15 +10,15 @@
 
 import msgspec
 
-from yarrowspindle.turns.core import Behind, Learn, Says
+from yarrowspindle.turns.core import Behind, Enter, Learn, Newest, Says
 from yarrowspindle.turns.register import Accept, Accepted, Kept, Prepare, Promise, Refused
 from yarrowspindle.turns.state import MACHINES_MOST, NAME_MOST, RELAYS_MOST, REQUESTS_MOST, TurnState
 
 VERSION = 1
 MOST = 1 << 20  # bytes of a message once it is unpressed
 KINDS: dict[int, Any] = {1: Prepare, 2: Promise[TurnState], 3: Accept[TurnState], 4: Accepted, 5: Refused[TurnState],
-                         6: Learn, 7: Behind, 8: Says}  # fmt: skip
-OF = {Prepare: 1, Promise: 2, Accept: 3, Accepted: 4, Refused: 5, Learn: 6, Behind: 7, Says: 8}
+                         6: Learn, 7: Behind, 8: Says, 9: Enter, 10: Newest}  # fmt: skip
+OF = {Prepare: 1, Promise: 2, Accept: 3, Accepted: 4, Refused: 5, Learn: 6, Behind: 7, Says: 8, Enter: 9, Newest: 10}
 _encode = msgspec.msgpack.Encoder().encode
 _decoders = {kind: msgspec.msgpack.Decoder(body) for kind, body in KINDS.items()}
 _kept = msgspec.msgpack.Decoder(Kept[TurnState])
--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -18,12 +18,15 @@
 BEAT_MS, ROUND_MS = 150.0, 400.0
 READ_MS, READ_IDLE_MS = 1500.0, 10_000.0  # a state read so long ago is read again: while something is out, and else
 SAY_MS = 600.0  # what was said and is not written after so long is written by the relay itself
+ENTER_MS = 1500.0  # the same for a process that is to be registered
+NEWEST_MS = 2000.0  # the others are told what is newest this often; twice a second while something is out
+ASKED_MOST = 3  # relays that are asked at once by one that cannot find the voters
 TELL_MS = 500.0  # who has not confirmed is told the state again this often
 BACK_MOST_MS = 1200.0
 FRESH_MS = 1000.0  # nothing is granted by a look at the machines that is older
 CALM_MS = 10_000.0  # without trouble, until turns are granted again
 BEAT = "beat"
-WANTS_MOST = 64
+WANTS_MOST, ENTERING_MOST = 64, 1024
 
 
 # --- events -------------------------------------------------------------------------------------
@@ -124,21 +127,36 @@
     turns: Mapping[str, int]
 
 
+@dataclass(slots=True, frozen=True)
+class Enter:
+    """The sender is a process that is not registered; who brings things on writes it down. key: its own, which no
+    process of its name had before (128 bits of the system's chance)."""
+
+    key: str
+
+
+@dataclass(slots=True, frozen=True)
+class Newest:
+    """A majority was heard a moment ago, and this is the newest version."""
+
+    version: int
+
+
 @dataclass(slots=True, frozen=True)
 class Behind:
-    """The sender knows of no later state than this version, and cannot find the voters: who knows more tells it."""
+    """The sender knows of no later state than this version: who knows more tells it."""
 
     version: int
 
 
 class Turns:
     """first: the state that all start from. identity: of this relay's file; empty where it has none. guide: a state by
-    whose voters to go, from that file. life: as it is registered; 0: not yet."""
+    whose voters to go, from that file. key: of this process, which none before it had."""
 
-    def __init__(self, name: str, first: TurnState, identity: str, guide: TurnState, seed: int, now: float,
-                 proposer: type[Proposer[TurnState]] = Proposer) -> None:  # fmt: skip
-        self.name, self.identity, self.now = name, identity, now
-        self.life = self.registering = 0
+    def __init__(self, name: str, key: str, first: TurnState, identity: str, guide: TurnState, seed: int,
+                 now: float, proposer: type[Proposer[TurnState]] = Proposer) -> None:  # fmt: skip
+        self.name, self.key, self.identity, self.now = name, key, identity, now
+        self.started = now
         self.random = Random(seed)
         self.proposer = proposer(name, first, self.random)
         # Its voters may be those to ask; it may not be committed, so nothing more is believed of it.
@@ -146,6 +164,8 @@
         self.fleet = Fleet(frozenset(), {}, (name,))
         self.orders: list[Order] = []
         self.said: dict[str, Says] = {}  # what the others say, newest of each
+        self.entering: dict[str, tuple[str, float]] = {}  # who is to be registered: its key, and when it said so
+        self.told_at = 0.0  # when a relay said that it had heard a majority, and that nothing is newer
         self.say_since = 0.0  # since when there is something to confirm; 0: there is nothing
         self.began = self.read_at = self.tell_at = 0.0
         self.calm_since = now
@@ -184,12 +204,17 @@
 
     @property
     def registered(self) -> bool:
-        return self.life > 0 and self.taken.relays.get(self.name) == self.life
+        return self.life > 0
+
+    @property
+    def life(self) -> int:
+        """As it is registered; 0: it is not."""
+        return self.taken.relays.get(self.name, 0) if self.taken.keys.get(self.name) == self.key else 0
 
     @property
     def heard_at(self) -> float:
-        """When a majority of the voters was last heard; 0: never."""
-        return self.read_at
+        """When a majority of the voters was last heard, by this relay or one that said so; 0: never."""
+        return max(self.read_at, self.told_at)
 
     def may_place(self, machine: str) -> bool:
         return self.registered and not self.taken.keeps_off(machine)
@@ -211,6 +236,14 @@
         elif isinstance(message, Says):
             if event.source in self.taken.relays:
                 self.said[event.source] = message
+        elif isinstance(message, Enter):
+            if event.source in self.entering or len(self.entering) < ENTERING_MOST:
+                self.entering[event.source] = (message.key, self.now)
+        elif isinstance(message, Newest):
+            if message.version <= self.state.version:
+                self.told_at = self.now
+            else:
+                self.effects.append(Send(event.source, Behind(self.state.version)))
         elif isinstance(message, Behind) and self.state.version > message.version:
             self.effects.append(Send(event.source, Learn(self.state)))
 
@@ -221,8 +254,6 @@
             elif isinstance(effect, Committed):
                 self.failures, self.read_at, self.why = 0, self.now, ""
                 if effect.changed:
-                    if not self.life and effect.state.relays.get(self.name) == self.registering:
-                        self.life = self.registering  # by this process's own round, which read the state for it
                     for name in sorted({*effect.state.relays, *effect.state.voters, *self.fleet.there} - {self.name}):
                         self.effects.append(Send(name, Learn(effect.state)))
                 self._take()
@@ -230,9 +261,9 @@
                 self.why = effect.why
                 self._wait()
                 if not self.registered:
-                    for name in self.fleet.there:
-                        if name != self.name:
-                            self.effects.append(Send(name, Behind(self.state.version)))
+                    others = [name for name in self.fleet.there if name != self.name]
+                    for name in self.random.sample(others, min(ASKED_MOST, len(others))):
+                        self.effects.append(Send(name, Behind(self.state.version)))
 
     def _wait(self) -> None:
         """So that two proposers do not keep one another from their majority."""
@@ -244,8 +275,6 @@
             self._say(self.taken, self.state)
             self.taken, self.looked = self.state, False
             self.effects.append(Took(self.state))
-        if self.life and self.taken.relays.get(self.name) != self.life:
-            self.life = 0  # somebody said that we have ended: register anew, and place nothing until then
 
     def _say(self, old: TurnState, new: TurnState) -> None:
         for machine, out in old.out.items():
@@ -277,23 +306,30 @@
             self.say_since = self.say_since or self.now
             if not self._duty():
                 self.effects.append(Send(min(self.fleet.there), Says(self.life, mine)))
+        if not self.registered and not self._duty():
+            self.effects.append(Send(min(self.fleet.there), Enter(self.key)))
         if self.proposer.round is not None and self.now >= self.began + ROUND_MS:
             self._carry_out(self.proposer.give_up("no majority in time"))
         if self.proposer.round is None and self.now >= self.wait_until:
             self._drop_done()
             idle = self.registered and not self.state.out and not self.orders
             again = READ_IDLE_MS if idle else READ_MS
-            if self.now >= self.read_at + again * (1.0 + self.random.random()) or self._change(self.state) is not None:
+            if self.now >= self.heard_at + again * (1.0 + self.random.random()) or self._change(self.state) is not None:
                 self.began = self.now
                 self._carry_out(self.proposer.start(self._change))
-        if self._duty() and self.now >= self.tell_at + TELL_MS:
+        if self._duty() and self.now >= self.tell_at + (TELL_MS if self.state.out else NEWEST_MS):
             self._remind()
         self.effects.append(Wake(BEAT_MS * self.random.uniform(0.8, 1.2), BEAT))
 
     def _remind(self) -> None:
-        """Who has not confirmed may not have heard."""
+        """Who has not confirmed may not have heard. The others are told what is newest, so that they need not read:
+        each read stands in the way of changes."""
         self.tell_at = self.now
         state = self.state
+        if self.now <= self.read_at + 2.0 * READ_MS:
+            for name in self.fleet.there:
+                if name != self.name:
+                    self.effects.append(Send(name, Newest(state.version)))
         missing = {n for m, o in state.out.items() if o.stage == EMPTYING for n in state.waits_for(m)} - {self.name}
         for name in sorted(missing.intersection(self.fleet.there)):
             self.effects.append(Send(name, Learn(state)))
@@ -301,18 +337,24 @@
     def _drop_done(self) -> None:
         for name in [name for name in self.said if name not in self.state.relays]:
             del self.said[name]
+        for name, (key, at) in list(self.entering.items()):
+            # Who still waits says so again; a word that lies about may be of a process that has ended.
+            if self.state.keys.get(name) == key or self.now > at + ENTER_MS:
+                del self.entering[name]
         """Orders that a committed state has, or can no longer take."""
         self.orders = [order for order in self.orders if self._ordered(self.state, order) is not None]
 
     def _change(self, state: TurnState) -> TurnState | None:
         """All that this relay wants changed, in one go."""
         steps: list[Callable[[TurnState], TurnState | None]] = []
-        if not self.life:
-            steps.append(self._registers)
+        if not self.registered and (self._duty() or self.now >= self.started + ENTER_MS):
+            steps.append(lambda s: s.registered(self.name, self.key))
         steps.append(self._revises)
         steps += [lambda s, order=order: self._ordered(s, order) for order in self.orders]  # type: ignore[misc]
         steps += [self._confirms, self._votes_again]
         if self._duty():
+            steps += [lambda s, n=name, k=key: s.registered(n, k)  # type: ignore[misc]
+                      for name, (key, _) in self.entering.items()]  # fmt: skip
             steps += [lambda s, n=name, w=word: s.confirmed(n, w.life, w.turns)  # type: ignore[misc]
                       for name, word in self.said.items()]  # fmt: skip
             steps += [self._troubled, self._advances]
@@ -336,11 +378,6 @@
             return None
         return state.returned(doubtful)
 
-    def _registers(self, state: TurnState) -> TurnState | None:
-        found = state.registered(self.name)
-        self.registering = found.relays[self.name] if found is not None else 0
-        return found
-
     def _troubled(self, state: TurnState) -> TurnState | None:
         if self.fleet.trouble:
             return state.rolled_back(self.fleet.trouble)
--- a/yarrowspindle/turns/state.py
+++ b/yarrowspindle/turns/state.py
@@ -98,6 +98,7 @@
     requests: Mapping[str, Request] = field(default_factory=dict)  # in the order in which they were settled
     out: Mapping[str, Out] = field(default_factory=dict)
     relays: Mapping[str, int] = field(default_factory=dict)  # registered: name -> life
+    keys: Mapping[str, str] = field(default_factory=dict)  # and the key of the process
     paused: str = ""  # why no turn is granted; empty: they are
     by_hand: bool = False  # an operator paused them, and an operator lets them go on
 
@@ -121,18 +122,19 @@
 
     # --- relays ---------------------------------------------------------------------------------
 
-    def registered(self, name: str) -> TurnState | None:
-        """A process is there, and reads this state by saying so. An earlier life of its name has ended. Its life is
-        the version that it is registered with, so that no two lives are the same."""
-        if len(self.relays) >= RELAYS_MOST and name not in self.relays:
+    def registered(self, name: str, key: str) -> TurnState | None:
+        """A process is there, and reads this state once it sees itself in it. An earlier life of its name has ended.
+        Its life is the version that it is registered with, so that no two lives are the same."""
+        if self.keys.get(name) == key or (len(self.relays) >= RELAYS_MOST and name not in self.relays):
             return None
-        return self.changed(relays={**self.relays, name: self.version + 1})._freed()
+        return self.changed(relays={**self.relays, name: self.version + 1}, keys={**self.keys, name: key})._freed()
 
     def left(self, name: str, life: int) -> TurnState | None:
         """It ended in good order, or an operator says that it has ended."""
         if self.relays.get(name) != life:
             return None
-        return self.changed(relays={n: at for n, at in self.relays.items() if n != name})._freed()
+        return self.changed(relays={n: at for n, at in self.relays.items() if n != name},
+                            keys={n: key for n, key in self.keys.items() if n != name})._freed()  # fmt: skip
 
     def confirmed(self, name: str, life: int, turns: Mapping[str, int]) -> TurnState | None:
         """This relay holds nothing at these machines, whose turns have these numbers."""
