--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -83,10 +83,13 @@
 
 def real_run(size: str, seed: int, words: tuple[str, ...], work: bool) -> TurnReport:
     big = size != "small"
+    voters = (4 if words and seed % 4 == 0 else 5) if big else 3
     run = Run(5 if big else 3, 12 if big else 4, 1000 if big else 120, seed, words, settle_s=6.0 if big else 3.0,
-              faults_s=30.0 if big else 6.0, stall_s=20.0 if big else 4.0, life_s=20.0, line_s=2.0,
-              after_s=2.0, voters=5 if big else 3, moves_per_s=50.0, lose_file=seed % 2 == 1, work=work)  # fmt: skip
-    wanted = Work(machines=0 if big else 2, reboot=seed % 3 == 0 and bool(words), floor=run.nodes - 2.0)
+              faults_s=30.0 if big else 6.0, stall_s=20.0 if big else 4.0, life_s=20.0, line_s=2.0, after_s=2.0,
+              voters=voters, moves_per_s=50.0, lose_file=seed % 2 == 1, work=work)  # fmt: skip
+    faulty = bool(words) and big
+    wanted = Work(machines=0 if big else 2, reboot=seed % 3 == 0 and faulty, floor=run.nodes - 2.0,
+                  dies_s=8.0 if faulty and seed % 5 == 0 else -1.0, voter=run.voters < run.relays)  # fmt: skip
     return uvloop.run(play_real(run, wanted))
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -103,6 +103,9 @@
     alone = settled(settled(TurnState().asked(Wish(("m0", "m2"), 2, 1, 0.0))).advanced(SEEN))
     assert alone.advanced(SEEN) is None, "they are in one zone"
     assert settled(TurnState().asked(Wish(("m0",), 1, 1, 3.5))).advanced(SEEN) is None, "the floor"
+    held = {m: Seen(s.zone, s.capacity, s.ready, 9 - int(m[1])) for m, s in SEEN.items()}
+    fewest = settled(settled(TurnState().asked(Wish(("m0", "m3", "m1"), order="fewest"))).advanced(held))
+    assert list(fewest.out) == ["m3"], "the one with fewest connections goes first"
 
 
 def test_free_needs_each_registered_life_and_this_turn() -> None:
--- a/tests/test_turns_daemon.py
+++ b/tests/test_turns_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 from pathlib import Path
 from typing import Any
@@ -113,6 +114,37 @@
     asyncio.run(body())
 
 
+def test_a_process_waits_until_the_one_before_it_has_ended(tmp_path: Path) -> None:
+    async def body() -> None:
+        before = TurnFile(f"{tmp_path}/turns", "n0", "default")
+        before.begin(("n0",))
+        assert before.take_lock()
+        async with relay(tmp_path, operator(tmp_path, free_port()), **COLD) as world:
+            await world.logged("another process has the lock")
+            assert (await (await world.job(wait_ms=500)).hear()).startswith("BUSY")
+            os.close(before.lock)
+            await world.standing()
+
+    asyncio.run(body())
+
+
+def test_a_disk_that_fails_stops_the_voter_not_the_jobs(tmp_path: Path) -> None:
+    async def body() -> None:
+        port = free_port()
+        TurnFile(f"{tmp_path}/turns", "n0", "default").begin(("n0",))
+        async with relay(tmp_path, operator(tmp_path, port), **COLD) as world:
+            await world.standing()
+            in_the_way = tmp_path / "turns" / "voter.new"
+            in_the_way.mkdir()
+            await say(port, "ask", "s-1")
+            await world.logged("the voter's file cannot be written")
+            await world.standing()
+            in_the_way.rmdir()
+            await world.logged("turn 1: s-1 is emptying")
+
+    asyncio.run(body())
+
+
 def test_the_command_names_what_is_wrong(tmp_path: Path, capsys: pytest.CaptureFixture[str],
                                          monkeypatch: pytest.MonkeyPatch) -> None:  # fmt: skip
     monkeypatch.delenv("YARROWSPINDLE_OPERATOR", raising=False)
@@ -126,9 +158,9 @@
 def test_five_real_relays_roll_machines_under_loss_a_cut_a_kill_and_a_stall() -> None:
     faults = [Fault("loss", 0.0, 12.0, 0.25), Fault("kill", 2.5, 2.0, one=("r1",)),
               Fault("stall", 4.5, 3.0, one=("r0",)), Fault("cut", 6.0, 4.0, one=("r2",), other=("r3",))]  # fmt: skip
-    run = Run(5, 4, 100, 21, settle_s=2.5, after_s=0.5, life_s=12.0, voters=5, cold_s=1.0, moves_per_s=40.0,
+    run = Run(5, 4, 100, 21, settle_s=2.5, after_s=0.5, life_s=12.0, voters=4, cold_s=1.0, moves_per_s=40.0,
               lose_file=True)  # fmt: skip
-    found: TurnReport = asyncio.run(play_turns(run, Work(machines=3, floor=2.0, reboot=True), faults))
+    found: TurnReport = asyncio.run(play_turns(run, Work(machines=3, floor=2.0, reboot=True, voter=True), faults))
     print(found)
     assert not found.report.broken, str(found)
     assert found.over and found.turns >= 3 and found.most_out == 1 and found.report.datagrams["lost"] > 0
--- a/yarrowspindle/lab/model/planted.py
+++ b/yarrowspindle/lab/model/planted.py
@@ -9,7 +9,7 @@
 
 from yarrowspindle.lab.model.turning import Parts
 from yarrowspindle.turns import register
-from yarrowspindle.turns.core import Turns
+from yarrowspindle.turns.core import Took, Turns
 from yarrowspindle.turns.register import Accept, Accepted, Kept, Prepare, Promise, Proposer, Refused, Round, Voter
 from yarrowspindle.turns.state import EMPTYING, Out, Seen, TurnState
 
@@ -207,6 +207,15 @@
         return state.confirmed(self.name, self.life, mine) if mine else None
 
 
+class TakesUpWhatComes(Turns):
+    """Takes up whatever state it hears of last, older ones too."""
+
+    def _take(self) -> None:
+        if self.state.version != self.taken.version:
+            self.taken, self.looked = self.state, False
+            self.effects.append(Took(self.state))
+
+
 class PlacesUnregistered(Turns):
     """Places before it has read what is out."""
 
@@ -226,7 +235,7 @@
     "goes by the oldest promise": Parts(proposer=TakesTheOldest),
     "counts answers of earlier rounds": Parts(proposer=AnyBallot),
     "believes what is only proposed": Parts(proposer=BelievesTooEarly),
-    "skips the fence": Parts(proposer=SkipsTheFence),
+    "skips the fence": Parts(proposer=SkipsTheFence, turns=TakesUpWhatComes),
     "free without one confirmation": Parts(state=OneTooFew),
     "numbers are used again": Parts(state=SameNumber),
     "one too many out": Parts(state=OneTooMany),
--- a/yarrowspindle/lab/processes/turning.py
+++ b/yarrowspindle/lab/processes/turning.py
@@ -40,6 +40,9 @@
     within_s: float = 90.0
     twice: bool = True  # two operators at two relays ask in the same second
     reboot: bool = False  # a machine's process ends while it is worked on, and starts anew
+    dies_s: float = -1.0  # the last machine, which nobody took out, dies so long after the request; below 0: none does
+    dead_s: float = 3.0
+    voter: bool = False  # the last relay, no voter so far, takes the first one's place in the end
 
 
 @dataclass(slots=True)
@@ -210,10 +213,41 @@
             if status == 200:
                 self.request = answer["done"]
 
+    async def death(self) -> None:
+        """A machine dies and comes back under a new start."""
+        machine = sorted(self.world.nodes)[-1]
+        node = self.world.nodes[machine]
+        await asyncio.sleep(self.work.dies_s)
+        while machine in self.began or machine in self.free:  # it is out: that is another case
+            await asyncio.sleep(POLL_S)
+        node.die()
+        self.world.list.tell(node, "gone")
+        await asyncio.sleep(self.work.dead_s)
+        await node.open()
+        node.started_ms = time.time() * 1000.0
+        self.world.checker.started(machine)
+        self.world.list.tell(node, "ready")
+
+    async def replace_voter(self) -> None:
+        """One at a time, and each stands before the next is asked for."""
+        last, first = self.world.relays[-1], self.world.voters[0]
+        steps: tuple[tuple[str, dict[str, Any], Relay | None, str, bool], ...] = (
+            ("vote", {}, last, last.name, True), ("unvote", {"relay": first}, None, first, False))  # fmt: skip
+        for what, told, relay, name, there in steps:
+            for _ in range(int(20.0 / POLL_S)):
+                if (name in (await self.look())["voters"]) is there:
+                    break
+                await self.tell(what, dict(told), relay)
+                await asyncio.sleep(POLL_S)
+            else:
+                self.world.checker.note("voters", f"{name} is {'no' if there else 'still a'} voter after 20 s")
+
     async def run(self, until: asyncio.Event) -> None:
         """From the request to the end of all, or to the end of patience after `until`."""
         began = self.world.now()
         ended = 0.0
+        if self.work.dies_s >= 0.0:
+            self.world.tasks.append(asyncio.ensure_future(self.death()))
         while True:
             if not any(r["request"] == self.request for r in self.newest.get("requests", ())):
                 await self.ask()  # whoever had the word may have died with it
@@ -233,12 +267,16 @@
             self.out.reasons += [f"{w['machine']}: {w['why']}" for r in self.newest["requests"]
                                  for w in r.get("waiting", ())]  # fmt: skip
             self.world.checker.note("all out and back", "; ".join(self.out.reasons) or "no reason is shown")
+        elif self.work.voter:
+            await self.replace_voter()
         for task in self.working.values():
             task.cancel()
 
     def files(self) -> None:
         """What the voters' files hold at the end is what was said."""
-        for relay in self.world.relays[: self.world.run.voters]:
+        for relay in self.world.relays:
+            if relay.name not in self.newest["voters"]:
+                continue
             try:
                 kept = relay.file.load()
             except NoFile as why:
