--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -423,6 +423,8 @@
                 node = self.nodes[m.name] = Node(m.name, node_number(m.name),
                                                   self.slow_ms if self.settings.tells_delay else 0.0)
                 self.numbers[node.number] = node
+                if self.task is not None and m.name in self.task.back:
+                    node.cold_from = self.now
             node = self.nodes[m.name]
             touched.setdefault(m.name, node.state)
             node.address, node.listed = m.address, m
--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -16,7 +16,7 @@
 from yarrowspindle.turns.state import EMPTYING, Seen, TurnState, Wish
 
 BEAT_MS, ROUND_MS = 150.0, 400.0
-READ_MS, READ_IDLE_MS = 1500.0, 10_000.0  # a state read so long ago is read again: while something is out, and else
+READ_MS, READ_IDLE_MS = 1500.0, 10_000.0  # without word for so long the state is read: while something is out, and else
 SAY_MS = 600.0  # what was said and is not written after so long is written by the relay itself
 ENTER_MS = 1500.0  # the same for a process that is to be registered
 NEWEST_MS = 2000.0  # the others are told what is newest this often; twice a second while something is out
@@ -312,8 +312,8 @@
             self._carry_out(self.proposer.give_up("no majority in time"))
         if self.proposer.round is None and self.now >= self.wait_until:
             self._drop_done()
-            idle = self.registered and not self.state.out and not self.orders
-            again = READ_IDLE_MS if idle else READ_MS
+            busy = bool(not self.registered or self.state.out or self.orders)
+            again = READ_MS if busy else NEWEST_MS if self._duty() else READ_IDLE_MS
             if self.now >= self.heard_at + again * (1.0 + self.random.random()) or self._change(self.state) is not None:
                 self.began = self.now
                 self._carry_out(self.proposer.start(self._change))
@@ -326,7 +326,7 @@
         each read stands in the way of changes."""
         self.tell_at = self.now
         state = self.state
-        if self.now <= self.read_at + 2.0 * READ_MS:
+        if self.now <= self.read_at + 3.0 * NEWEST_MS:
             for name in self.fleet.there:
                 if name != self.name:
                     self.effects.append(Send(name, Newest(state.version)))
@@ -335,13 +335,13 @@
             self.effects.append(Send(name, Learn(state)))
 
     def _drop_done(self) -> None:
+        """Words and orders that a committed state has, or can no longer take."""
         for name in [name for name in self.said if name not in self.state.relays]:
             del self.said[name]
         for name, (key, at) in list(self.entering.items()):
             # Who still waits says so again; a word that lies about may be of a process that has ended.
             if self.state.keys.get(name) == key or self.now > at + ENTER_MS:
                 del self.entering[name]
-        """Orders that a committed state has, or can no longer take."""
         self.orders = [order for order in self.orders if self._ordered(self.state, order) is not None]
 
     def _change(self, state: TurnState) -> TurnState | None:
