--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -273,8 +273,14 @@
     def _take(self) -> None:
         if self.state.version > self.taken.version:
             self._say(self.taken, self.state)
+            was = self.life
             self.taken, self.looked = self.state, False
             self.effects.append(Took(self.state))
+            if self.life != was:
+                took = (self.now - self.started) / 1000.0
+                self.effects.append(Note(f"registered as life {self.life}, {took:.1f} s after the start" if self.life
+                                         else "somebody said that this relay has ended: nothing is placed until it "
+                                         "is registered anew"))  # fmt: skip
 
     def _say(self, old: TurnState, new: TurnState) -> None:
         for machine, out in old.out.items():
