Put more relays over each node of a subset, so that chance evens out

Cause: a relay's nodes are more or fewer than its part by chance, by one over the root of their number; over a node that evens out among the relays that cover it.

--- a/yarrowspindle/subsets/arcs.py
+++ b/yarrowspindle/subsets/arcs.py
@@ -9,13 +9,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import ceil
+from math import ceil, sqrt
 
 SPAN = 1 << 64
 POINTS = 64  # of a relay with the mean traffic
 POINTS_MOST = 8  # times that, of one with more
+EVEN = 24.0  # the fullest node has about 1 + 2.7 / EVEN times the mean
 LEAST = 12  # nodes of a relay, so that two honest draws are left when a quarter is lost
-COVER_LEAST = 8  # points over each node; where there are fewer than twice as many in all, everybody draws from all
+COVER_LEAST = 16  # relays over each node, so that chance evens out; up to twice as many relays draw from all nodes
 
 
 def place(text: str) -> int:
@@ -99,8 +100,10 @@
         """m: how many points lie over each node. In powers of two, so that it seldom changes."""
         if not self.points or not self.places:
             return 0
-        part = max(self.part, 2 * LEAST / len(self.places))
-        wanted = max(COVER_LEAST, ceil(part * len(self.points) / POINTS))
+        relays, nodes = len(self.points) / POINTS, len(self.places)
+        part = max(self.part, 2 * LEAST / nodes)
+        # By chance a relay has more or fewer nodes than its part; over a node that evens out among so many relays.
+        wanted = ceil(max(COVER_LEAST, part * relays, EVEN * sqrt(relays / nodes)))
         return min(len(self.points), 1 << (wanted - 1).bit_length())
 
     def subset(self, name: str) -> Subset:
