Bound the halves of messages, and say once why the lock cannot be had

Cause, by reading: 64 halves of a megabyte each could be held for a peer that errs; and a folder that cannot be written was logged five times a second. A state of 512 machines and 200 relays is 6.3 kB, so 360 kB a message are plenty.

--- a/yarrowspindle/program/turning.py
+++ b/yarrowspindle/program/turning.py
@@ -103,12 +103,11 @@
 
     async def _begin(self) -> None:
         """The lock first: until the process before this one has ended, this one places nothing."""
-        said = False
-        while not self._locked():
-            if not said:
-                logger.warning("turns: another process has the lock in {}; nothing is placed until it has ended",
-                               self.settings.directory)  # fmt: skip
-            said = True
+        said = ""
+        while why := self._unlocked():
+            if why != said:
+                logger.warning("turns: {}: nothing is placed", why)
+            said = why
             await asyncio.sleep(LOCK_S)
         try:
             self._vote_with(self.file.load())
@@ -125,12 +124,13 @@
             emptying = any(out.stage == EMPTYING for out in self.core.taken.out.values())
             await asyncio.sleep(HOLDS_S if emptying else LOOK_S)
 
-    def _locked(self) -> bool:
+    def _unlocked(self) -> str:
+        """Why the lock cannot be had yet; empty once this process has it."""
         try:
-            return self.file.take_lock()
+            taken = self.file.take_lock()
         except OSError as error:
-            self.bounded.warn(f"turns: the lock in {self.settings.directory} cannot be taken: {error}")
-            return False
+            return f"the lock in {self.settings.directory} cannot be taken: {error}"
+        return "" if taken else f"another process has the lock in {self.settings.directory}, until it has ended"
 
     def _vote_with(self, kept: Kept[TurnState]) -> None:
         self.voter = Voter(kept, self.file.store, self._now)
--- a/yarrowspindle/turns/parcels.py
+++ b/yarrowspindle/turns/parcels.py
@@ -12,8 +12,8 @@
 from msgspec.msgpack import Decoder, Encoder
 
 PART = 900  # bytes, so that a datagram of peers holds one with its head
-PARTS_MOST = 1200  # of one message
-SENT_MOST, HALF_MOST = 64, 64  # messages kept to send parts again, and such that are not whole yet
+PARTS_MOST = 400  # of one message
+SENT_MOST, HALF_MOST = 64, 32  # messages kept to send parts again, and such that are not whole yet
 AGAIN_MS, GIVE_UP_MS = 60.0, 1500.0
 
 
