End within the time that the settings leave, and begin nothing that a crossing event forbids

The time now follows the settings in force (hub.py). - main.py, listener.py: the listener closed over its backlog; what was read in the last 150 ms was sent on; a MOVE behind half a line waited 0.5 s, longer than the process lived. The end has a state now (reducer.ended): nothing is begun, the door takes in and answers what the kernel holds, resting connections are ended in order, all are read to their end for 250 ms at most. - submitter.py: a resting connection was aborted, which resets over a line that crosses. - policy.py, reducer.py: a repeat was bound by its window when it was chosen, not when its connection came up (Send.begin_ms); drain and window are checked again before the first byte. At the end a keyed job that may have run got BUSY (Due: the module answers). - policy.py: after a failed call discovery was asked 1.25 to 11 s later, after a start within 5 s. A call and a wait fit into 6 s now, in turns of 250 ms a relay. - door.py: strangers counted once, so a crowd whose lines came together took the watch's descriptors (48 held of 40); main.py left out the operators' API's 32. - config.py: new settings brought other tenants and zones under the old names. interface.py: slow_ms stayed the first settings'. - A standing connection whose node ends it is ended in order too: abort() drops what was still to be written.

Ruled out: faster waits (0.24 to 1.8 s). TCP_NODELAY: uvloop sets it on all its connections (looked at with getsockopt).

Tests (tests/test_crossings.py, real sockets). Green there as well: leavers, drains, answers with the end of their connection, two answers, crowds with discovery down.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,375 @@
+"""Where two events cross: real sockets and the real program; a stand-in holds one side until the other has happened.
+
+`docs/design/crossings.md` lists the pairs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.stand_ins import SETTINGS, WAIT_S, Peer, Server, World, relay
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHAT = dict(SETTINGS["categories"][0])
+PATIENT = SETTINGS["limits"] | {"connect_timeout_ms": 8000.0}  # a connection that is held stays on its way
+SHORT = {"categories": [CHAT | {"deadline_ms": 900.0}]}
+
+
+def run(tmp: Path, body: Callable[[World], Awaitable[None]], **changes: Any) -> None:
+    async def inside() -> None:
+        async with relay(tmp, **changes) as world:
+            await body(world)
+
+    asyncio.run(inside())
+
+
+async def until(true: Callable[[], bool]) -> None:
+    for _ in range(int(WAIT_S / 0.005)):
+        if true():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("it did not come about")
+
+
+class Held(Server):
+    """An execute node to which no connection comes up until it is let go: its accept queue is full."""
+
+    async def open(self) -> Held:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.port = self.sock.getsockname()[1]
+        self.filler = socket.create_connection(("127.0.0.1", self.port))
+        return self
+
+    def waits(self) -> bool:
+        """Whether a connection is on its way here."""
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            rows = [line.split() for line in table]
+        return any(row[2].endswith(f":{self.port:04X}") and row[3] == "02" for row in rows)
+
+    async def let_go(self) -> None:
+        self.filler.close()
+        self.sock.accept()[0].close()
+        self.server = await asyncio.start_server(self._take, sock=self.sock)
+
+    def heard(self) -> list[bytes]:
+        return [peer.first for peer in (self.came.get_nowait() for _ in range(self.came.qsize())) if peer.first]
+
+
+async def listed(w: World, **phases: str) -> None:
+    """The whole list as told on the watch that is open, or on the next, and taken."""
+    if not hasattr(w, "watch"):
+        await w.watched()
+        w.watch.writer.write(HEAD)
+    w.watch.writer.write(w.members(True, *(w.member(name.replace("_", "-"), p) for name, p in phases.items())))
+    await w.logged(f"machine list {w.version}:")
+
+
+async def held(w: World) -> Held:
+    """s-1 takes no connection, and nothing else is ready."""
+    w.nodes["s-1"] = node = await Held().open()
+    await listed(w, s_1="ready", s_2="draining")
+    return node
+
+
+# --- the end of the relay -------------------------------------------------------------------------
+
+
+def test_the_end_comes_within_the_time_that_the_longest_deadline_of_the_settings_leaves(tmp_path: Path) -> None:
+    """The relay took 3.3 s whatever the settings said; where the longest deadline is 2 s, SIGKILL came after 2.7 s."""
+
+    async def body(w: World) -> None:
+        first, _, _ = await w.standing()
+        waiting = await w.job(wait_ms=900)
+        await w.placed()
+        w.stop()
+        start = time.monotonic()
+        w.stop()  # a second one changes nothing, nor does a SIGHUP
+        w.reload()
+        assert await first.hear() == "MOVE" and (await waiting.hear()).startswith("BUSY")
+        assert await asyncio.wait_for(w.process.wait(), WAIT_S) == 0 and time.monotonic() - start < 0.9 + 0.7
+
+    run(tmp_path, body, **SHORT)
+
+
+def test_what_waits_in_the_kernel_at_the_end_is_answered_and_not_reset(tmp_path: Path) -> None:
+    """The relay is held while they come and its time runs out; the first thing it does then is to end."""
+
+    async def body(w: World) -> None:
+        resting = await w.submitter()
+        w.stop()
+        await w.logged("asked to stop")
+        w.process.send_signal(signal.SIGSTOP)
+        resting.say("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=chat,t=acme,d=800")
+        late = [await w.job(wait_ms=800) for _ in range(20)]
+        await asyncio.sleep(1.3)  # the time to end has come
+        w.process.send_signal(signal.SIGCONT)
+        for peer in (resting, *late):
+            assert [(await peer.hear())[:4], await peer.hear()] == ["BUSY", ""]
+        assert all(node.came.empty() for node in w.nodes.values()), "nothing is begun any more"
+
+    run(tmp_path, body, **SHORT)
+
+
+def test_a_request_that_comes_on_a_resting_connection_after_the_end_is_not_sent_on(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        w.stop()
+        await w.logged("asked to stop")
+        resting = [await w.submitter("PING") for _ in range(3)]
+        assert [await peer.hear() for peer in resting] == ["NO"] * 3
+        while True:
+            try:
+                (await w.submitter()).writer.close()
+            except OSError:  # the door has closed
+                break
+        resting[0].say("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=chat,t=acme,d=800")
+        assert (await resting[0].hear()).split(" ")[0] in ("BUSY", "")
+        assert await resting[1].hear() == ""  # ended in order while it still rests
+        resting[1].say("OPEN 00000000000000bb 7f3a9c21e0b4d655 c=chat,t=acme,d=800")
+        assert await asyncio.wait_for(w.process.wait(), WAIT_S) == 0
+        assert all(node.came.empty() for node in w.nodes.values())
+
+    run(tmp_path, body, **SHORT)
+
+
+def test_half_a_line_from_a_node_at_the_end_holds_no_move_back(tmp_path: Path) -> None:
+    """The move waited for the rest of the line for longer than the process still lived."""
+
+    async def body(w: World) -> None:
+        submitter, _, node = await w.standing()
+        node.writer.write(b"half a l")
+        assert await submitter.reader.readexactly(8) == b"half a l"
+        w.stop()
+        await w.logged("asked to stop")
+        w.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.3)  # all that was to be done before the end is due at once
+        w.process.send_signal(signal.SIGCONT)
+        assert [await submitter.hear() for _ in range(3)] == ["", "MOVE", ""]
+
+    run(tmp_path, body, **SHORT)
+
+
+def test_a_resting_connection_is_ended_in_order_over_bytes_that_cross(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        peer = await w.submitter("PING")
+        assert await peer.hear() == "PONG"
+        assert await peer.hear() == ""  # after 2 s
+        peer.say("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=chat,t=acme,d=800")
+        await peer.writer.drain()
+        peer.writer.write_eof()  # raises where the connection was reset
+        await w.standing()
+        assert all(node.came.empty() for node in w.nodes.values())
+
+    run(tmp_path, body)
+
+
+# --- an answer and the end of its connection --------------------------------------------------------
+
+
+@pytest.mark.parametrize("last", ["UP r1", "UP r1\r\nthe last line"])
+def test_an_answer_that_comes_with_the_end_of_its_connection_reaches_the_submitter(tmp_path: Path, last: str) -> None:
+    """The submitter's connection was cut with the answer still to be written."""
+
+    async def body(w: World) -> None:
+        submitter = await w.job()
+        _, node, _ = await w.placed()
+        w.process.send_signal(signal.SIGSTOP)
+        node.say(last)
+        node.writer.close()
+        await node.writer.wait_closed()
+        w.process.send_signal(signal.SIGCONT)
+        assert [await submitter.hear() for _ in last.split("\r\n")] == last.split("\r\n")
+        assert await submitter.hear() == ""
+
+    run(tmp_path, body)
+
+
+def test_one_answer_where_a_node_answers_twice_or_without_end(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        submitter = await w.job()
+        _, twice, _ = await w.placed()
+        twice.say("BUSY")
+        _, endless, _ = await w.placed()
+        twice.say("UP r1")  # the second comes once the next attempt is out
+        endless.writer.write(b"x" * 8192)
+        _, node, _ = await w.placed()
+        endless.say("UP r2")
+        node.say("UP r3", "LOAD 5")
+        assert [await submitter.hear(), await submitter.hear()] == ["UP r3", "LOAD 5"]
+        assert [await twice.hear(), await endless.hear()] == ["", ""]
+
+    run(tmp_path, body)
+
+
+# --- the submitter leaves -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+def test_no_attempt_begins_for_a_submitter_that_left_while_its_connection_was_under_way(
+        tmp_path: Path, how: str) -> None:
+    async def body(w: World) -> None:
+        node = await held(w)
+        leavers = [await w.job(wait_ms=1900) for _ in range(10)]
+        await until(node.waits)
+        for peer in leavers:
+            {"close": peer.writer.close, "half": peer.writer.write_eof, "reset": peer.writer.transport.abort}[how]()
+        await until(lambda: not node.waits())
+        await node.let_go()
+        stays, name, _ = await w.standing()
+        assert name == "s-1" and not node.heard()
+        stays.say("hello")
+
+    run(tmp_path, body, limits=PATIENT)
+
+
+def test_no_attempt_begins_for_a_submitter_that_left_while_it_waited_for_a_node(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        await listed(w, s_1="draining", s_2="draining")
+        leavers = [await w.job(wait_ms=1900) for _ in range(10)]
+        stays = await w.job(wait_ms=1900)
+        for peer in leavers:
+            peer.writer.write_eof()
+            assert await peer.hear() == ""  # the relay has seen it
+        await listed(w, s_1="ready", s_2="draining")
+        _, node, _ = await w.placed()
+        node.say("UP r1")
+        assert await stays.hear() == "UP r1"
+        assert all(node.came.empty() for node in w.nodes.values())
+
+    run(tmp_path, body)
+
+
+# --- drains -------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("phase", ["draining", "gone"])
+def test_nothing_is_sent_to_a_node_whose_drain_was_told_while_its_connection_was_under_way(
+        tmp_path: Path, phase: str) -> None:
+    async def body(w: World) -> None:
+        node = await held(w)
+        submitter = await w.job(wait_ms=1900)
+        await until(node.waits)
+        await listed(w, s_1=phase, s_2="ready")
+        await until(lambda: not node.waits())
+        await node.let_go()
+        name, other, _ = await w.placed()
+        assert name == "s-2"
+        other.say("UP r1")
+        assert await submitter.hear() == "UP r1" and not node.heard()
+
+    run(tmp_path, body, limits=PATIENT)
+
+
+def test_a_repeat_begins_within_the_window_or_not_at_all(tmp_path: Path) -> None:
+    """A connection that came up late carried a repeat that nobody took for one any more."""
+    keyed = CHAT | {"effect": "token", "group": "all", "window_ms": 700.0}
+
+    async def body(w: World) -> None:
+        await listed(w, s_1="draining", s_2="ready")
+        submitter = await w.job(wait_ms=1900)
+        start = time.monotonic()
+        _, first, _ = await w.placed()
+        w.nodes["s-1"] = node = await Held().open()
+        await listed(w, s_1="ready", s_2="draining")
+        first.writer.close()  # it may have run
+        await until(node.waits)
+        await node.let_go()  # the system tries again a second after the first time: the window has closed by then
+        assert (await submitter.hear()).split(" ")[0] in ("BUSY", "ERR") and time.monotonic() - start < 1.9
+        assert not node.heard()
+
+    run(tmp_path, body, limits=PATIENT, categories=[keyed])
+
+
+# --- the list -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("beats", [False, True])
+def test_a_watch_that_says_nothing_or_nothing_but_empty_lines_is_opened_anew(tmp_path: Path, beats: bool) -> None:
+    """With the call that follows it the change is known within 6 s of the last word, also where one call hangs."""
+
+    async def body(w: World) -> None:
+        await w.watched()
+        start, peer = time.monotonic(), w.watch
+        w.watch.writer.write(HEAD + (b"" if beats else w.members(True, w.member("s-1"), w.member("s-2"))))
+
+        async def beat() -> None:
+            while beats:
+                peer.writer.write(b"1\r\n\n\r\n")
+                await asyncio.sleep(0.5)
+
+        beating = asyncio.ensure_future(beat())
+        await w.watched()  # and this one hangs
+        await w.watched()
+        beating.cancel()
+        w.answer_watch(w.member("s-1", "draining"), w.member("s-2"))
+        await w.logged(f"machine list {w.version}: s-1 draining")
+        assert time.monotonic() - start < 5.5
+
+    run(tmp_path, body)
+
+
+def test_a_list_that_comes_indented_and_in_two_parts_is_taken(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        await w.watched()
+        text = json.dumps({"revision": 9, "complete": True, "members": [w.member("s-2")]}, indent=2) + "\n"
+        w.watch.writer.write(HEAD + b"%x\r\n%s\r\n" % (70, text[:70].encode()))
+        await w.standing()
+        w.watch.writer.write(b"%x\r\n%s\r\n" % (len(text) - 70, text[70:].encode()))
+        await w.logged("machine list 9: s-1 gone")
+        assert w.list.came.empty(), "the same watch goes on"
+
+    run(tmp_path, body)
+
+
+def test_an_old_service_that_speaks_on_after_sighup_is_no_place_to_go_on_from(tmp_path: Path) -> None:
+    """Its revision was asked of the new service, which counts in another way and left out what came before."""
+
+    async def body(w: World) -> None:
+        await listed(w, s_1="draining", s_2="ready")
+        old = w.watch
+        w.list = await Server().open()
+        w.reload(discovery=f"127.0.0.1:{w.list.port}")
+        assert (await w.watched()).endswith("index=0 HTTP/1.1")
+        w.version = 70
+        old.writer.write(w.members(False, w.member("s-1", "gone")))
+        await w.logged("s-1 gone")
+        w.watch.writer.close()
+        assert (await w.watched()).endswith("index=0 HTTP/1.1"), "the whole list, as before"
+        w.version = 3
+        w.answer_watch(w.member("s-1"), w.member("s-2", "draining"))
+        await w.logged("machine list 4: s-1 ready, s-2 draining")
+        old.writer.write(w.members(True, w.member("s-2")))  # late word of the old one
+        assert [(await w.standing())[1] for _ in range(6)] == ["s-1"] * 6
+
+    run(tmp_path, body)
+
+
+def test_idle_crowds_leave_descriptors_for_the_watch_and_for_nodes_while_discovery_is_down(tmp_path: Path) -> None:
+    async def body(w: World) -> None:
+        await w.watched()
+        w.list.server.close()
+        w.watch.writer.transport.abort()
+        crowd = []
+        for _ in range(300):
+            peer = Peer(*await asyncio.open_connection("127.0.0.1", w.port))
+            peer.writer.write(b"OPEN 0000")  # and no more of it
+            crowd.append(peer)
+        w.list = await Server().open()
+        w.reload(discovery=f"127.0.0.1:{w.list.port}")
+        await w.watched()
+        w.answer_watch(w.member("s-1"), w.member("s-2", "draining"))
+        await w.logged("s-2 draining")
+        standing = [await w.standing() for _ in range(10)]
+        ping = await w.submitter("PING")
+        assert await ping.hear() == "PONG" and [name for _, name, _ in standing] == ["s-1"] * 10
+
+    run(tmp_path, body, sockets=96)
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from math import inf
 
 
 class Effect(IntEnum):
@@ -119,6 +120,11 @@
     report: tuple[str, ...] = ()  # the fields of a load report; empty where probes bring none
     by_own_load: bool = False  # judge by own load too: word on long messages comes late, or not at every server
 
+    @property
+    def slow_ms(self) -> float:
+        """Message times are told while they are over this: a third of the shortest aim."""
+        return min((c.message_aim_ms for c in self.classes if c.message_aim_ms > 0.0), default=0.0) / 3.0
+
     def __post_init__(self) -> None:
         def need(ok: bool, what: str) -> None:
             if not ok:
@@ -254,6 +260,13 @@
     request: int
 
 
+@dataclass(slots=True)
+class Due:
+    """The client's time is up, or this process ends: a request with no attempt out is answered now."""
+
+    request: int
+
+
 @dataclass(slots=True)
 class Levelling:
     """Standing connections are being levelled out: `level` is the own load that each unit of a server's capacity
@@ -300,7 +313,7 @@
 
 
 Event = (ServerList | Request | Adopted | Established | AttemptEnded | LoadChanged | ServerSlow | TimerDue
-         | Probed | PeerMessage | ClientGone | Levelling | Retuned | Others)
+         | Probed | PeerMessage | ClientGone | Due | Levelling | Retuned | Others)
 
 
 # --- actions ------------------------------------------------------------------------------------
@@ -313,6 +326,7 @@
     request: int
     server: int
     timeout_ms: float  # 0: until the client gives up
+    begin_ms: float = inf  # a repeat may not begin later than this from now: it would not be known as one any more
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -15,7 +15,7 @@
 
 from yarrowspindle.books import Job, Loads, Rate, Server, SetUps, Trouble, known
 from yarrowspindle.interface import (
-    NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Effect, Established, Event, Fail, Group,
+    NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Due, Effect, Established, Event, Fail, Group,
     Levelling, ListKind, LoadChanged, Move, Others, Outcome, PeerMessage, Probe, Probed, Refuse, Request,
     Retuned, Send, ServerList, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
 )  # fmt: skip
@@ -41,6 +41,7 @@
 MOVE_GAIN, FIRM_PART = 0.05, 0.33  # worth a move, in mean worth; counted of what is only estimated
 FULL, FULL_PART = 1.1, 0.25  # above this use a server is emptied, a part on each beat
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
+TOLD_MS, CALL_MS = 6000.0, 250.0  # the list counts as told so long after it could be asked for; a call takes a part
 
 
 class Balancer:
@@ -72,12 +73,10 @@
         self.held: dict[int, Job] = {}  # requests that wait for a usable server
         self.timers: dict[int, Callable[[], None]] = {}
         self.out: list[Action] = []
-        aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
-        self.slow_ms = min(aims, default=0.0) / 3.0
         self.handlers: dict[type, Callable[[Any], None]] = {
             Request: self._request, AttemptEnded: self._ended, Established: self._established,
             LoadChanged: self._load_changed, ServerSlow: self._slow, TimerDue: self._timer,
-            ServerList: self._list, Adopted: self._adopted, ClientGone: self._gone,
+            ServerList: self._list, Adopted: self._adopted, ClientGone: self._gone, Due: self._gone,
             Probed: self._probed, PeerMessage: lambda event: None, Retuned: self._retuned,
             Others: self._others, Levelling: lambda event: setattr(self, "level", event.level),
         }  # fmt: skip
@@ -111,10 +110,9 @@
 
     def _list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            # Ask again, later each time and never all at once; a failed call allows four times ask_within.
+            # Ask again, later each time and never all at once: a call that hangs and this wait fit into TOLD_MS.
             self.failures += 1
-            wait = min(0.25 * self.failures, 2.0)
-            self._ask_later(0.5 * wait, 1.5 * wait)
+            self._ask_later(*((0.0, 0.5) if self.failures == 1 else (0.3, 0.6)))
             return
         if event.kind is not ListKind.DELTA:
             listed = {entry.server for entry in event.entries}
@@ -134,7 +132,7 @@
         for ring in (self.inner, self.everywhere):
             ring.usual = max(ring.usual, ring.total)
         if event.kind is ListKind.CACHED:
-            self._ask_later(0.0, 0.5)  # started together, they must not ask together
+            self._ask_later(0.0, 0.8)  # started together, they must not ask together
         else:
             self.failures = 0
         for job in list(self.held.values()):
@@ -177,10 +175,11 @@
     # --- discovery ------------------------------------------------------------------------------
 
     def _ask_later(self, least: float, most: float) -> None:
-        """Subscribe at some moment between these parts of ask_within; one call is under way at a time."""
+        """Subscribe between these parts of the time in which all can ask in turn; one call is under way at a time."""
         if self.settings.asks and not self.asking:
             self.asking, part = True, least + (most - least) * self.random()
-            self._later(part * self.settings.ask_within_ms, self._subscribe)
+            turns = CALL_MS * (self.settings.balancers + 2 * self.failures)
+            self._later(part * min(turns, self.settings.ask_within_ms, TOLD_MS), self._subscribe)
 
     def _subscribe(self) -> None:
         self.asking = False
@@ -343,14 +342,19 @@
     def _repeat_group(self, job: Job, ran_on: Server) -> Ring[Server]:
         """Where a request that may have run may go again (rule 2)."""
         cls, ring = self.settings.classes[job.cls], Ring[Server]()
-        if cls.effect is Effect.UNSAFE or self.now >= job.ran_at + cls.window_ms - self.settings.tick_ms:
-            return ring
-        for s in self.everywhere.pool:
+        for s in self.everywhere.pool if self._window(job) > 0.0 else ():
             if cls.group is Group.ALL or (
                     s.zone == ran_on.zone if cls.group is Group.ZONE else s.cell == ran_on.cell):
                 ring.put(s)
         return ring
 
+    def _window(self, job: Job) -> float:
+        """Within what a further attempt has to begin, so that it is known as a repeat where it arrives."""
+        cls, slack = self.settings.classes[job.cls], self.settings.tick_ms + self.settings.answer_slack_ms
+        if job.ran_on is None or cls.effect is Effect.SAFE:
+            return inf
+        return 0.0 if cls.effect is Effect.UNSAFE else job.ran_at + cls.window_ms - slack - self.now
+
     # --- attempts -------------------------------------------------------------------------------
 
     def _request(self, event: Request) -> None:
@@ -366,9 +370,8 @@
 
     def _place(self, job: Job) -> None:
         """Send the request's next attempt, hold it while that can help, or answer it."""
-        server = None
-        if job.attempts < self.settings.max_attempts and self.now < job.deadline:
-            server = self._choose(job)
+        may = job.attempts < self.settings.max_attempts and self.now < job.deadline
+        server = self._choose(job) if may else None
         if server is not None and self._hopeless(server, job):
             self._answer(job)
         elif server is not None:
@@ -376,17 +379,14 @@
             job.attempts += 1
             job.server, job.out, job.sent = server, True, self.now
             self._hold_on(server, job)
-            self.out.append(Send(job.id, server.id, 0.0))
+            self.out.append(Send(job.id, server.id, 0.0, self._window(job)))
         elif job.id not in self.held:
             aim = self.settings.classes[job.cls].aim_ms
             self._hold(job, aim / 2.0, job.arrived + aim)
 
     def _hold(self, job: Job, delay: float, until: float) -> None:
         """Look at the request again after the delay, if it can still be sent then; else answer it now."""
-        left = min(job.deadline - self.settings.tick_ms, until) - self.now
-        cls = self.settings.classes[job.cls]
-        if job.ran_on is not None and cls.effect is not Effect.SAFE:  # no use in waiting past its window
-            left = 0.0 if cls.effect is Effect.UNSAFE else min(left, job.ran_at + cls.window_ms - self.now)
+        left = min(min(job.deadline - self.settings.tick_ms, until) - self.now, self._window(job))
         if job.attempts < self.settings.max_attempts and left > self.settings.tick_ms:
             self.held[job.id] = job
             self._later(min(left, delay), lambda: self._place(job) if self.held.pop(job.id, None) else None)
@@ -489,10 +489,12 @@
             delay = aim * 2.0 ** (job.attempts - 3) * (0.5 + self.random())
             self._hold(job, delay, job.deadline)
 
-    def _gone(self, event: ClientGone) -> None:
-        """The client left. A request that we ended a moment ago may be named: nothing to do then."""
+    def _gone(self, event: ClientGone | Due) -> None:
+        """The client left, or waits no longer. What we ended a moment ago may be named: nothing to do then."""
         job = self.jobs.get(event.request)
-        if job is not None:
+        if job is not None and isinstance(event, Due):
+            self._answer(job)
+        elif job is not None:
             if job.out and not job.established and self.settings.may_cancel:
                 self.out.append(Cancel(job.id, job.attempts - 1))
             self._close(job)
@@ -508,7 +510,7 @@
         server, job = self.servers.get(event.server), self.jobs.get(event.request)
         if server is None:
             return
-        server.slow_until = self.now + FORGET_MS if event.message_ms > self.slow_ms else -1.0
+        server.slow_until = self.now + FORGET_MS if event.message_ms > self.settings.slow_ms else -1.0
         server.message_ms = event.message_ms
         self._mark(server)
         if self.estimates is not None:
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -228,7 +228,8 @@
         current[name] = known[-1] if known else len(entries) - 1
     if len(entries) > CLASSES_MOST:
         raise ConfigError(f"more than {CLASSES_MOST} classes over all reloads: a restart starts them anew")
-    settings = replace(new.settings, classes=tuple(entries))
+    was = old.settings  # tenants and zones go by their places, which the old names stand for until a restart
+    settings = replace(new.settings, classes=tuple(entries), tenants=was.tenants, zone=was.zone, zones=was.zones)
     return replace(old, settings=settings, classes=names, current=current)
 
 
--- a/yarrowspindle/program/door.py
+++ b/yarrowspindle/program/door.py
@@ -62,11 +62,15 @@
 
     def room(self) -> bool:
         """Whether one more may come in; makes room where that is needed and somebody can be sent away."""
-        while len(self.held) >= self.most or len(self.strangers) + len(self.leaving) >= self.strangers_most:
+        while self._full():
             if not self._send_away():
                 return False
         return True
 
+    def _full(self) -> bool:
+        strangers = len(self.strangers)  # each takes one more, for its node, once its job has come
+        return len(self.held) + strangers >= self.most or strangers + len(self.leaving) >= self.strangers_most
+
     def _send_away(self) -> bool:
         old = self.clock() - YOUNG_S
         for sides in (self.leaving, self.strangers):
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -19,6 +19,9 @@
 from yarrowspindle.telemetry import Telemetry
 
 IDLE_PART = 0.8  # of the time after which nodes close idle connections: the relay closes them first
+# SIGKILL comes no sooner after SIGTERM than the longest deadline (counted as 3 s where it is longer) and 0.7 s more.
+LONGEST_MS, KILL_AFTER_MS = 3000.0, 700.0
+ENDING_MS = 400.0  # of that for the ends of connections and of the process
 EVACUATE_MS = 2500.0  # all standing connections are moved within this time after an evacuation
 
 
@@ -92,8 +95,13 @@
             self.post(Rebalance(self.operator.rebalance, self.config.seed))
             self.metrics.rebalance(self.reducer.rebalance)
 
-    def stop(self, within_ms: float) -> None:
+    def stop(self) -> float:
+        """Everybody is to be moved or answered within the time that is given back, in milliseconds."""
+        config = self.config
+        longest = max(config.settings.classes[number].deadline_ms for number in config.current.values())
+        within_ms = min(longest, LONGEST_MS) + KILL_AFTER_MS - ENDING_MS
         self.post(Stop(within_ms))  # also after an evacuation: this one ends with the process
+        return within_ms
 
     def reload(self) -> None:
         """Reads the configuration's file again. One that makes no sense changes nothing."""
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -40,6 +40,8 @@
 from yarrowspindle.transport.submitter import Submitter
 
 BACKLOG = 1024
+TURN_S = 0.001
+READ_S = 0.02  # a few turns of the loop, each of which reads all sockets
 # Failures of this machine, which say nothing of an execute node.
 OWN_FAILURES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -59,12 +61,28 @@
             Deny: self._deny, Move: self._move, Close: self._close,
         }  # fmt: skip
 
-    def start(self) -> Listener:
-        listener = Listener(self.config.listen, BACKLOG, lambda: Submitter(self), self.door.room, self.bad_line)
+    def start(self) -> LineFront:
+        self.listener = Listener(self.config.listen, BACKLOG, lambda: Submitter(self), self.door.room, self.bad_line)
         self.hub.fronts.append(self)
         self.hub.connected.append(self.connected)
         logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
-        return listener
+        return self
+
+    async def end(self, within_s: float) -> None:
+        """Once the reducer begins nothing any more: whoever waits at the door is taken in and answered, whoever rests
+        is ended in order, all are heard to their end while there is time. A close over unread bytes would reset."""
+        while not self.hub.reducer.ended(self.hub.runtime.clock.now()):
+            await asyncio.sleep(TURN_S)
+        until = self.loop.time() + within_s
+        await self.listener.close(within_s / 3.0)
+        await asyncio.sleep(READ_S)  # what lies in the sockets is read, and answered
+        for stranger in [side for side in self.door.strangers if isinstance(side, Submitter)]:
+            stranger.rest_over()
+        while self.loop.time() < until and any(isinstance(side, Submitter) for side in self.door.held):
+            await asyncio.sleep(READ_S)
+            if self.loop.time() > until - within_s / 3.0:
+                for node in [side for side in self.door.held if isinstance(side, NodeSide)]:
+                    node.move_now()
 
     def carry_out(self, effect: Effect) -> None:
         handler = self.effects.get(type(effect))
@@ -114,6 +132,9 @@
         self.door.answered(side)
         self.bad_line(why)
 
+    def submitter_ended(self, side: Submitter) -> None:
+        self.door.answered(side)
+
     def bad_line(self, text: str) -> None:
         self.log.warn(text)
 
@@ -217,9 +238,6 @@
     def _close(self, effect: Close) -> None:
         submitter = self.submitters.get(effect.job)
         self._forget(effect.job)
-        if submitter is None:
-            return
-        if effect.ending in (Ending.SERVED, Ending.SENT_AWAY):
-            submitter.finish()
-        else:
-            submitter.abort()
+        if submitter is not None:
+            submitter.finish()  # in order, however the node ended: its last lines may still wait to be written
+            self.door.answered(submitter)
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -17,18 +17,23 @@
 from yarrowspindle.program.metrics import report
 from yarrowspindle.runtime import SystemClock
 
-STOP_MS = 3300.0  # SIGKILL comes 3.7 s after SIGTERM at the soonest
-STOP_FLUSH_S = 0.15
+OPERATORS_MOST = 34  # the operators' API: 32 calls at once, one more while the oldest is ended, its socket
+END_S = 0.25  # for the ends of connections, once all was moved or answered
 
 
 async def serve(config: Config, operator: Operator) -> None:
     hub = Hub(config, SystemClock(), operator)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, hub.reload)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):  # from before the first connection is taken in
+        loop.add_signal_handler(number, stopping.set)
     hub.start()
     descriptors = descriptors_left(config.sockets) - (operator.quic.max_connections if operator.quic else 0)
     if config.settings.may_probe and config.settings.report:
         descriptors -= hub.prober.most
+    if config.operator is not None:
+        descriptors -= OPERATORS_MOST
     server = LineFront(hub, descriptors).start()
     api = None
     if config.operator is not None:
@@ -54,9 +59,6 @@
 
         turning = Turning(hub, peering, operator.turns)
         await turning.start()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     reports = []
     if operator.metrics is not None:
         reports.append(loop.create_task(report(hub.metrics, operator.metrics, config.name)))
@@ -66,10 +68,8 @@
     gc.set_threshold(20_000, 50, 100)
     await stopping.wait()
     logger.info("asked to stop: {} jobs are here", len(hub.reducer.jobs))
-    hub.stop(STOP_MS)
-    await asyncio.sleep(STOP_MS / 1000.0)
-    server.close()
-    await asyncio.sleep(STOP_FLUSH_S)
+    await asyncio.sleep(hub.stop() / 1000.0)
+    await server.end(END_S)
     for task in reports:
         task.cancel()
     if turning is not None:
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -91,8 +91,6 @@
     def __init__(self, settings: Settings, seed: int, now: float, list_at: Address | None = None) -> None:
         self.settings, self.now, self.list_at = settings, now, list_at
         self.balancer = Balancer(settings, seed, now)
-        aims = [c.message_aim_ms for c in settings.classes if c.message_aim_ms > 0.0]
-        self.slow_ms = min(aims, default=0.0) / 3.0
         self.jobs: dict[int, Job] = {}
         self.refs: set[str] = set()  # submitters' names of the jobs that are not over
         self.begun = False  # a job has come that was not open before the run
@@ -134,7 +132,7 @@
 
     def _act(self, action: module.Action) -> None:
         if isinstance(action, module.Send):
-            self._send(self.jobs[action.request], self.numbers.get(action.server), action.timeout_ms)
+            self._send(self.jobs[action.request], self.numbers.get(action.server), action)
         elif isinstance(action, module.Refuse):
             self._answer(action.request, Requeue(action.request, action.retry_after_ms))
         elif isinstance(action, module.Fail):
@@ -160,13 +158,14 @@
         if node is not None:
             self._tell(module.Probed(node.number, OUTCOMES[event.ending], event.took_ms, event.report))
 
-    def _send(self, job: Job, node: Node | None, timeout_ms: float) -> None:
+    def _send(self, job: Job, node: Node | None, send: module.Send) -> None:
         if job.phase is not Phase.HELD:
             raise ValueError(f"job {job.id} is {job.phase.name}: one attempt at a time")
         job.attempt += 1
         left = job.deadline - self.now
-        if timeout_ms > 0.0:
-            left = min(left, timeout_ms)
+        if send.timeout_ms > 0.0:
+            left = min(left, send.timeout_ms)
+        job.begin_by = self.now + send.begin_ms
         if node is None or node.state is not State.READY or left <= EARLY_MS:
             number = node.number if node else 0
             self._tell(module.AttemptEnded(job.id, job.attempt, number, OUTCOMES[Ending.NEVER_SENT], False))
@@ -177,7 +176,7 @@
         job.step(Phase.REACHING)
         job.node, job.sent = node, self.now
         node.jobs.add(job.id)
-        within = min(left, self.settings.connect_timeout_ms)
+        within = min(left, self.settings.connect_timeout_ms, job.begin_by - self.now)
         self.effects.append(Reach(job.id, job.attempt, node.name, node.address, within))
 
     def _answer(self, number: int, answer: Requeue | Deny) -> None:
@@ -239,6 +238,9 @@
         if event.ref and not self._believed(event):
             self.effects.append(Deny(event.job))
             return
+        if self.ended(self.now):
+            self.effects.append(Requeue(event.job, 0.0))
+            return
         job = self.jobs[event.job] = Job(event.job, self.now, event.left_ms, event)
         if self.rebalance is not None:
             self.rebalance.arrived(self.now)
@@ -303,6 +305,11 @@
         job = self._current(event.job, event.attempt)
         if job is None or job.node is None or job.phase is not Phase.REACHING:
             return
+        # Asked again before the first byte leaves: much may have happened since the connection was begun.
+        if self.now >= job.begin_by or job.adoption is None and job.node.state is not State.READY:
+            self.effects.append(Drop(job.id, job.attempt))
+            self._ended(job, Ending.NEVER_SENT, False)
+            return
         job.step(Phase.ASKED)
         self.effects.append(Ask(job.id, job.attempt, job.deadline - self.now))
 
@@ -379,7 +386,7 @@
         took = sum(node.took) / len(node.took)
         node.took.clear()
         node.told_at = self.now
-        slow = self.slow_ms > 0.0 and took > self.slow_ms
+        slow = 0.0 < self.settings.slow_ms < took
         if slow or node.slow:
             node.slow = slow
             self._tell(module.ServerSlow(job.id, node.number, took))
@@ -421,7 +428,7 @@
         for m in event.machines:
             if m.name not in self.nodes:
                 node = self.nodes[m.name] = Node(m.name, node_number(m.name),
-                                                  self.slow_ms if self.settings.tells_delay else 0.0)
+                                                  self.settings.slow_ms if self.settings.tells_delay else 0.0)
                 self.numbers[node.number] = node
                 if self.task is not None and m.name in self.task.back:
                     node.cold_from = self.now
@@ -503,6 +510,8 @@
     def _retune(self, event: Retune) -> None:
         """New jobs are judged by the new settings; those under way keep their class, whose entry stays."""
         self.settings = event.settings
+        for node in self.nodes.values():
+            node.figures.slow = event.settings.slow_ms if event.settings.tells_delay else 0.0
         self._tell(module.Retuned(event.settings))
 
     def _reloaded(self, event: Reloaded) -> None:
@@ -587,11 +596,10 @@
             stalled = job.deadline - EARLY_MS <= self.stalled_at
             job.deadline = self.now
             self._ended(job, Ending.STALLED if stalled else Ending.OVERDUE, False)
-        if job.phase is Phase.HELD:  # the module answers at its deadline; if it has not, nothing else would
-            pinned = job.adoption is not None
+        if job.phase is Phase.HELD and job.adoption is None:
+            self._tell(module.Due(job.id))  # what may have run is not called harmless to repeat: the module knows
+        if job.phase is Phase.HELD:
             self._answer(job.id, Requeue(job.id, 0.0))
-            if not pinned:
-                self._tell(module.ClientGone(job.id))
 
     def _stalled(self, event: Stalled) -> None:
         """Silence is counted from when we could hear again: answers may have waited in our own sockets."""
@@ -622,6 +630,10 @@
     def draining(self) -> bool:
         return self.stop_at > 0.0
 
+    def ended(self, now: float) -> bool:
+        """The process ends: all was moved or answered, and nothing is begun any more."""
+        return self.exits and 0.0 < self.stop_at <= now
+
     def _move_all(self) -> None:
         left = self.stop_at - self.now
         standing = [j for j in self.jobs.values() if j.phase is Phase.OPEN]
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from enum import Enum
+from math import inf
 
 from yarrowspindle.interface import Adopted, State
 from yarrowspindle.routing.figures import Figures
@@ -34,7 +35,7 @@
 
 class Job:
     __slots__ = ("id", "phase", "attempt", "node", "deadline", "sent", "adoption", "unanswered", "ref", "came",
-                 "load", "since")  # fmt: skip
+                 "load", "since", "begin_by")  # fmt: skip
 
     def __init__(self, job: int, now: float, left_ms: float, came: JobArrived | None = None) -> None:
         self.id, self.phase, self.came = job, Phase.HELD, came or JobArrived(job, left_ms)
@@ -45,6 +46,7 @@
         self.adoption: Adopted | None = None  # open before the run, and not up again yet
         self.unanswered: deque[list[float]] = deque()  # when lines came that had no line back, and how many
         self.ref = ""  # its submitter's name for it
+        self.begin_by = inf  # when the newest attempt must have begun
 
     @property
     def out(self) -> bool:
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -6,6 +6,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from enum import Enum
 
 from yarrowspindle.routing.messages import Address
 
@@ -13,6 +14,12 @@
 AGAIN_S = 0.01
 
 
+class Queue(Enum):
+    EMPTY = "nobody waits in the kernel"
+    MORE = "more may wait"
+    NO_ROOM = "nobody can be taken in just now"
+
+
 class Listener:
     def __init__(self, address: Address, backlog: int, made: Callable[[], asyncio.Protocol], room: Callable[[], bool],
                  failed: Callable[[str], None]) -> None:  # fmt: skip
@@ -30,21 +37,28 @@
         self.loop.add_reader(self.sock, self._ready)
 
     def _ready(self) -> None:
-        for _ in range(BATCH):
+        if self._accept(BATCH) is Queue.NO_ROOM:
+            self.loop.remove_reader(self.sock)
+            self.later = self.loop.call_later(AGAIN_S, self._listen)
+
+    def _accept(self, most: int) -> Queue:
+        for _ in range(most):
             if not self.room():
-                return self._pause()
+                return Queue.NO_ROOM
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return None
+            except (BlockingIOError, InterruptedError):
+                return Queue.EMPTY
+            except ConnectionAbortedError:
+                continue
             except OSError as error:  # no descriptors or no memory: no reason to spin, nor to end
                 self.failed(f"no connection can be taken in: {error}")
-                return self._pause()
+                return Queue.NO_ROOM
             sock.setblocking(False)
             task = self.loop.create_task(self._take_in(sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        return None
+        return Queue.MORE
 
     async def _take_in(self, sock: socket.socket) -> None:
         try:
@@ -53,12 +67,12 @@
             sock.close()
             self.failed(f"a connection was lost while it was taken in: {error}")
 
-    def _pause(self) -> None:
-        self.loop.remove_reader(self.sock)
-        self.later = self.loop.call_later(AGAIN_S, self._listen)
-
-    def close(self) -> None:
+    async def close(self, within_s: float) -> None:
+        """Takes in what the kernel holds first: it has said yes to those, and a close would reset them."""
         if self.later is not None:
             self.later.cancel()
         self.loop.remove_reader(self.sock)
+        until = self.loop.time() + within_s
+        while self._accept(BATCH) is not Queue.EMPTY and self.loop.time() < until:
+            await asyncio.sleep(0.0 if self.room() else AGAIN_S)
         self.sock.close()
--- a/yarrowspindle/transport/node.py
+++ b/yarrowspindle/transport/node.py
@@ -125,6 +125,11 @@
             self.lines.rest = b""
             self._moved()
 
+    def move_now(self) -> None:
+        """The rest of the line is waited for no longer."""
+        if self.moving is not None:
+            self._moved()
+
     def _moved(self) -> None:
         if self.later is not None:
             self.later.cancel()
--- a/yarrowspindle/transport/submitter.py
+++ b/yarrowspindle/transport/submitter.py
@@ -21,6 +21,7 @@
     def job_left(self, job: int) -> None: ...
     def submitter_lost(self, side: Submitter) -> None: ...
     def submitter_refused(self, side: Submitter, why: str) -> None: ...
+    def submitter_ended(self, side: Submitter) -> None: ...
 
 
 class Submitter(Side):
@@ -68,7 +69,13 @@
         if self.opening.rest:
             self._refuse("half a line")
         else:
-            self.abort()
+            self.rest_over()
+
+    def rest_over(self) -> None:
+        """Ends a connection that has asked for nothing: in order, since its line may be on its way."""
+        self._heard()
+        self.finish()
+        self.sink.submitter_ended(self)
 
     def _heard(self) -> None:
         if self.wait is not None:
