Seed the two draws by the group where connections of one group share work

Change: policy.py _choose: the draws of a first attempt are seeded by the job's group over the whole circle, alike at all relays; the one with less own load still wins, a further attempt goes by luck. Where settings state no groups nothing changes. Also: a job keeps the attempts that it was taken with (red before: one more was sent), a list that fails says why (status 503 was "User callback error"), docs/design/crossings.md, pages, README, ROADMAP, CHANGELOG.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,6 +13,7 @@
 import pytest
 
 from tests.stand_ins import SETTINGS, WAIT_S, World, free_port, relay
+from yarrowspindle.program.config import read_config, retune
 from yarrowspindle.transport.listener import Listener
 
 
@@ -136,6 +137,19 @@
     return {name: int(value) for name, value in (line.split("=") for line in text.split())}
 
 
+def test_new_settings_bring_no_tenant_or_zone_under_another_name() -> None:
+    realms = [{"name": "acme", "share": 0.7}, {"name": "b", "share": 0.3}]
+    raw = SETTINGS | {"azs": ["a", "b"], "zone": 1, "realms": realms}
+    data = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": raw}
+    old = read_config(data)
+    raw = raw | {"azs": ["b", "a", "c"], "zone": 0, "realms": realms[::-1]}
+    raw["family_info"] = raw["family_info"] | {"message_aim_ms": [90.0]}
+    new = retune(old, read_config(data | {"settings": raw}))
+    assert new.tenants == ["acme", "b"] and [t.share for t in new.settings.tenants] == [0.7, 0.3]
+    assert (new.names, new.settings.zone, new.settings.zones) == (old.names, 1, 2)
+    assert new.classes == ["chat", "chat"] and new.current == {"chat": 1} and new.settings.slow_ms == 30.0
+
+
 def test_settings_at_sighup_are_taken_whole_or_not_at_all(tmp_path: Path, port: int) -> None:
     chat = dict(SETTINGS["categories"][0])
 
--- a/yarrowspindle/books.py
+++ b/yarrowspindle/books.py
@@ -52,7 +52,7 @@
     """A request from its arrival until it is answered and none of its attempts is out."""
 
     __slots__ = ("id", "cls", "load", "arrived", "deadline", "attempts", "sent", "server", "out",
-                 "owed", "established", "ran_at", "ran_on", "returned", "group")  # fmt: skip
+                 "owed", "established", "ran_at", "ran_on", "returned", "group", "most")  # fmt: skip
 
     def __init__(self, request: int, cls: int, load: float, now: float, left: float) -> None:
         self.id, self.cls, self.load = request, cls, load
@@ -61,6 +61,7 @@
         self.server: Server | None = None  # of the newest attempt
         self.out = self.established = False
         self.owed, self.returned, self.group = True, False, 0
+        self.most = 1  # attempts that were allowed when it came
         self.ran_at = -1.0  # when the first attempt that may have run went out
         self.ran_on: Server | None = None
 
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -15,9 +15,9 @@
 
 from yarrowspindle.books import Job, Loads, Rate, Server, SetUps, Trouble, known
 from yarrowspindle.interface import (
-    NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Due, Effect, Established, Event, Fail, Group,
-    Levelling, ListKind, LoadChanged, Move, Others, Outcome, PeerMessage, Probe, Probed, Refuse, Request,
-    Retuned, Send, ServerList, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
+    NEVER_RAN, Action, Adopted, AttemptEnded, Cancel, ClientGone, Due, Effect, Established, Event, Fail,
+    Group, Levelling, ListKind, LoadChanged, Move, Others, Outcome, PeerMessage, Probe, Probed, Refuse,
+    Request, Retuned, Send, ServerList, ServerSlow, SetTimer, Settings, State, Subscribe, TimerDue,
 )  # fmt: skip
 from yarrowspindle.others import OthersBook
 from yarrowspindle.reports import SICK, Estimates
@@ -41,7 +41,7 @@
 MOVE_GAIN, FIRM_PART = 0.05, 0.33  # worth a move, in mean worth; counted of what is only estimated
 FULL, FULL_PART = 1.1, 0.25  # above this use a server is emptied, a part on each beat
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
-TOLD_MS, CALL_MS = 6000.0, 250.0  # the list counts as told so long after it could be asked for; a call takes a part
+TOLD_MS, CALL_MS = 6000.0, 250.0  # the list counts as told so long after it could be had; a call
 
 
 class Balancer:
@@ -110,7 +110,7 @@
 
     def _list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            # Ask again, later each time and never all at once: a call that hangs and this wait fit into TOLD_MS.
+            # Ask again, later each time and never all at once: a call that hangs and a wait fit into TOLD_MS.
             self.failures += 1
             self._ask_later(*((0.0, 0.5) if self.failures == 1 else (0.3, 0.6)))
             return
@@ -175,7 +175,7 @@
     # --- discovery ------------------------------------------------------------------------------
 
     def _ask_later(self, least: float, most: float) -> None:
-        """Subscribe between these parts of the time in which all can ask in turn; one call is under way at a time."""
+        """Subscribe between these parts of the time in which all can ask in turn; one call at a time."""
         if self.settings.asks and not self.asking:
             self.asking, part = True, least + (most - least) * self.random()
             turns = CALL_MS * (self.settings.balancers + 2 * self.failures)
@@ -204,13 +204,13 @@
         # What home is short of goes to all zones, or the first servers back there would get all of it.
         if inner.total < inner.usual and self.random() * inner.usual >= inner.total:
             inner = outer
-        # While levelled, more draws find room for who comes again; a group draws alike at all balancers.
+        # While levelled, more draws find room for who comes again. Groups meet: a server pays for each once.
         level, draws = (self.level, RETURNED_DRAWS) if self.level and job.returned else (0.0, 2)
-        luck = Random(job.group).random if level and job.group else self.random
-        best = None
+        alike = job.group and (level or self.settings.groups and not job.attempts)
+        best, luck = None, Random(job.group).random if alike else self.random
         for circle, arc in ((inner, inner.arc), (outer, 1.0)):
             for _ in range(draws if circle.size else 0):
-                server = circle.draw(luck, 0.0 if luck is not self.random else self.start, arc)
+                server = circle.draw(luck, 0.0 if alike else self.start, 1.0 if alike else arc)
                 if server.started > 0.0 and self.now - server.started < self.settings.cold_ms:
                     continue
                 # Unequal servers and connections: own load over capacity stands for the own count.
@@ -363,14 +363,14 @@
         if not 0 <= event.cls < len(self.settings.classes):
             raise ValueError(f"request {event.request} has an unknown class: {event.cls}")
         job = Job(event.request, event.cls, self.loads.of(event.load), self.now, event.left_ms)
-        job.returned, job.group = event.returned, event.group
+        job.returned, job.group, job.most = event.returned, event.group, self.settings.max_attempts
         self.probes = min(self.probes + PROBES, PROBES_MOST)
         self.jobs[job.id] = job
         self._place(job)
 
     def _place(self, job: Job) -> None:
         """Send the request's next attempt, hold it while that can help, or answer it."""
-        may = job.attempts < self.settings.max_attempts and self.now < job.deadline
+        may = job.attempts < min(job.most, self.settings.max_attempts) and self.now < job.deadline
         server = self._choose(job) if may else None
         if server is not None and self._hopeless(server, job):
             self._answer(job)
@@ -387,7 +387,7 @@
     def _hold(self, job: Job, delay: float, until: float) -> None:
         """Look at the request again after the delay, if it can still be sent then; else answer it now."""
         left = min(min(job.deadline - self.settings.tick_ms, until) - self.now, self._window(job))
-        if job.attempts < self.settings.max_attempts and left > self.settings.tick_ms:
+        if job.attempts < min(job.most, self.settings.max_attempts) and left > self.settings.tick_ms:
             self.held[job.id] = job
             self._later(min(left, delay), lambda: self._place(job) if self.held.pop(job.id, None) else None)
         else:
@@ -490,7 +490,7 @@
             self._hold(job, delay, job.deadline)
 
     def _gone(self, event: ClientGone | Due) -> None:
-        """The client left, or waits no longer. What we ended a moment ago may be named: nothing to do then."""
+        """The client left, or waits no longer. What we ended a moment ago may be named: nothing to do."""
         job = self.jobs.get(event.request)
         if job is not None and isinstance(event, Due):
             self._answer(job)
--- a/yarrowspindle/protocol/machines.py
+++ b/yarrowspindle/protocol/machines.py
@@ -84,8 +84,9 @@
     def feed(self, data: bytes) -> list[ListTold]:
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            raise ListError(f"not HTTP: {error}") from error
+        except httptools.HttpParserError as error:  # what a callback raised comes wrapped
+            said = error.__context__
+            raise (said if isinstance(said, ListError) else ListError(f"not HTTP: {error}")) from error
         told, self.told = self.told, []
         return told
 
