State the operators' bound and the shortest aim once, and let a watch know its address

Seen on reading the change again: main.py wrote the API's 32 connections a second time (34), and imported its package twice; Settings.slow_ms went over all classes at each new node of a list and each slow note; list_watch.py put an address together as text for each word of a former service, only to compare it.

Change: main.py takes MOST from operator/; slow_ms is worked out where settings are made; a watch keeps its address as it is given.

--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -118,13 +118,9 @@
     live_weights: bool = False  # a capacity in the list is lowered by what the server holds, as some time ago
     groups: bool = False  # connections of one group share work: each server that holds any of it pays for it once
     report: tuple[str, ...] = ()  # the fields of a load report; empty where probes bring none
+    slow_ms: float = field(init=False, repr=False, compare=False)  # message times over it are told: a third of an aim
     by_own_load: bool = False  # judge by own load too: word on long messages comes late, or not at every server
 
-    @property
-    def slow_ms(self) -> float:
-        """Message times are told while they are over this: a third of the shortest aim."""
-        return min((c.message_aim_ms for c in self.classes if c.message_aim_ms > 0.0), default=0.0) / 3.0
-
     def __post_init__(self) -> None:
         def need(ok: bool, what: str) -> None:
             if not ok:
@@ -146,6 +142,8 @@
             need(0.0 < c.deadline_ms < float("inf"), "a class's deadline must be above 0")
             need(0.0 < c.aim_ms < float("inf"), "a class's aim must be above 0")
             need(0.0 <= c.window_ms < float("inf"), "a class's window is out of range")
+        shortest = min((c.message_aim_ms for c in self.classes if c.message_aim_ms > 0.0), default=0.0)
+        object.__setattr__(self, "slow_ms", shortest / 3.0)
 
 
 # --- events -------------------------------------------------------------------------------------
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -17,7 +17,6 @@
 from yarrowspindle.program.metrics import report
 from yarrowspindle.runtime import SystemClock
 
-OPERATORS_MOST = 34  # the operators' API: 32 calls at once, one more while the oldest is ended, its socket
 END_S = 0.25  # for the ends of connections, once all was moved or answered
 
 
@@ -33,11 +32,12 @@
     if config.settings.may_probe and config.settings.report:
         descriptors -= hub.prober.most
     if config.operator is not None:
-        descriptors -= OPERATORS_MOST
+        from yarrowspindle.operator import MOST, OperatorApi
+
+        descriptors -= MOST + 2  # one more while the oldest is ended, and its socket
     server = LineFront(hub, descriptors).start()
     api = None
     if config.operator is not None:
-        from yarrowspindle.operator import OperatorApi
         from yarrowspindle.program.operations import routes
 
         api = OperatorApi(routes(hub), lambda text: logger.error("an operator's call failed: {}", text))
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -40,8 +40,8 @@
             if self.watching is not None:
                 self.watching.cancel()
         self.version = max(version, self.version) if version else 0
-        host, port = self.watch_at = address
-        self.watch = WatchSide(self, self.names, f"{host}:{port}", version)
+        self.watch_at = address
+        self.watch = WatchSide(self, self.names, address, version)
         self.watch.begin()
         self.watching = asyncio.get_running_loop().create_task(self._open(self.watch, address))
 
@@ -76,7 +76,7 @@
         if watch is self.watch and self.former is not None:
             former, self.former = self.former, None
             former.end("another has taken its place")
-        if watch is self.former and (self.watch_at is None or watch.host != "{}:{}".format(*self.watch_at)):
+        if watch is self.former and watch.address != self.watch_at:
             told = replace(told, version=self.version)  # another service counts in another way: no place to go on from
         if watch in (self.watch, self.former):
             self.told(told)
--- a/yarrowspindle/transport/machine_list.py
+++ b/yarrowspindle/transport/machine_list.py
@@ -6,7 +6,7 @@
 from typing import Protocol, cast
 
 from yarrowspindle.protocol.machines import ListError, Names, WatchAnswer, watch_request
-from yarrowspindle.routing.messages import ListTold
+from yarrowspindle.routing.messages import Address, ListTold
 
 # What a silent watch misses counts as told 6 s after its last word, so these and the waits between calls fit into that.
 ANSWER_S = 2.2  # from the opening of the connection to the first list; the service lets a call wait about so long
@@ -19,8 +19,8 @@
 
 
 class WatchSide(asyncio.Protocol):
-    def __init__(self, sink: WatchSink, names: Names, host: str, version: int) -> None:
-        self.sink, self.host, self.version = sink, host, version
+    def __init__(self, sink: WatchSink, names: Names, address: Address, version: int) -> None:
+        self.sink, self.address, self.version = sink, address, version
         self.answer = WatchAnswer(names)
         self.transport: asyncio.Transport | None = None
         self.quiet: asyncio.TimerHandle | None = None
@@ -36,7 +36,7 @@
             cast(asyncio.Transport, transport).abort()
             return
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.write(watch_request(self.host, self.version))
+        self.transport.write(watch_request("{}:{}".format(*self.address), self.version))
 
     def _wait(self, within_s: float, why: str) -> None:
         if self.quiet is not None:
