Place an attempt anew whose node returns under a new start before its first byte

Seen: the pair stood open in docs/design/crossings.md. reducer.py _list gave up attempts under way only where a node's state changed; one that came back under a new start kept them, so a node chosen as warm got them cold, past the budget of all relays. Change: an attempt that was not sent is given up there too (NEVER_SENT, no strike) and the module chooses again. Test: test_an_attempt_under_way_does_not_go_to_the_new_start_of_its_node, red without the change (the cold node got the line). The hashes of test_peers_off are the same; test_reducer_model and test_turns_daemon pass.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -269,6 +269,25 @@
     run(tmp_path, body, limits=PATIENT)
 
 
+def test_an_attempt_under_way_does_not_go_to_the_new_start_of_its_node(tmp_path: Path) -> None:
+    """It had been chosen as warm, and came on top of the budget of a cold node."""
+
+    async def body(w: World) -> None:
+        node = await held(w)
+        submitter = await w.job(wait_ms=1900)
+        await until(node.waits)
+        cold = w.member("s-1") | {"up_since_ms": time.time() * 1000.0}
+        w.watch.writer.write(w.members(False, cold, w.member("s-2")))
+        await w.logged("s-2 ready")
+        await node.let_go()
+        name, other, _ = await w.placed()
+        assert name == "s-2"
+        other.say("UP r1")
+        assert await submitter.hear() == "UP r1" and not node.heard()
+
+    run(tmp_path, body, limits=PATIENT)
+
+
 def test_a_repeat_begins_within_the_window_or_not_at_all(tmp_path: Path) -> None:
     """A connection that came up late carried a repeat that nobody took for one any more."""
     keyed = CHAT | {"effect": "token", "group": "all", "window_ms": 700.0}
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -419,6 +419,7 @@
         self.version = event.version
         # Only what is told is looked at: one word on one node must not cost a walk over the fleet.
         touched: dict[str, State] = {}  # nodes told of, with their states before
+        renewed: set[str] = set()  # those of them under a new start: chosen as warm, a node may be cold by now
         if event.kind is not ListKind.DELTA:
             listed = {m.name for m in event.machines}
             for name, node in self.nodes.items():
@@ -436,7 +437,10 @@
             touched.setdefault(m.name, node.state)
             node.address, node.listed = m.address, m
             node.state = State.DRAINING if m.state is State.READY and self._kept_off(m.name) else m.state
-            node.capacity, node.started = m.capacity, max(m.started_ms, node.cold_from)
+            before, node.started = node.started, max(m.started_ms, node.cold_from)
+            node.capacity = m.capacity
+            if node.started != before:
+                renewed.add(m.name)
             if self.rebalance is not None:
                 self.rebalance.view.node(self.now, m.name, node.number, node.state, m.capacity, node.started)
             entries.append(ServerEntry(node.number, m.zone, m.cell, node.state, m.capacity, node.started, m.kind))
@@ -449,8 +453,9 @@
             named = ", ".join(f"{node.name} {node.state.name.lower()}" for node in turned[:NAMED_MOST])
             more = f" and {len(turned) - NAMED_MOST} more" if len(turned) > NAMED_MOST else ""
             self.effects.append(Note(f"machine list {event.version}: {named}{more}"))
-        for number in sorted(n for node in changed if node.state is not State.READY for n in node.jobs):
-            # Nothing was sent yet, and nothing may be sent to a node that drains or is gone.
+        other = (node for node in changed if node.state is not State.READY or node.name in renewed)
+        for number in sorted(n for node in other for n in node.jobs):
+            # Nothing was sent yet, and nothing may be sent to a node that drains or is gone; a new one is chosen anew.
             job = self.jobs[number]
             if job.phase is Phase.REACHING and job.adoption is None:
                 self.effects.append(Drop(job.id, job.attempt))
