Share the tests' run and the head of a list's answer

Need: test_crossings wrote test_daemon's run() again, and a list's head that stand_ins had inside answer_watch.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -19,6 +19,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WAIT_S = 10.0  # no test waits longer for anything; none waits for a time to pass
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"  # of the machine list's answer
 SETTINGS: dict[str, Any] = LAB | {
     "zone": 0, "balancers": 1, "slot_no": 0,
     "obligations": {"drain_grace_ms": 400.0, "answer_slack_ms": 8.0, "ask_within_ms": 200.0, "cold_share": 0.31,
@@ -122,7 +123,7 @@
         self.watch.writer.write(self.members(False, self.member(name, phase)))
 
     def answer_watch(self, *members: dict[str, Any]) -> None:
-        self.watch.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self.members(True, *members))
+        self.watch.writer.write(HEAD + self.members(True, *members))
 
     async def submitter(self, *lines: str) -> Peer:
         peer = Peer(*await asyncio.open_connection("127.0.0.1", self.port))
@@ -214,3 +215,11 @@
             await world.process.wait()
         await reading
         assert "Traceback" not in "".join(said), "".join(said)
+
+
+def run(tmp: Path, body: Callable[[World], Awaitable[None]], operator: str = "", **changes: Any) -> None:
+    async def inside() -> None:
+        async with relay(tmp, operator, **changes) as world:
+            await body(world)
+
+    asyncio.run(inside())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,26 +9,17 @@
 import signal
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.stand_ins import SETTINGS, WAIT_S, Peer, Server, World, relay
+from tests.stand_ins import HEAD, SETTINGS, WAIT_S, Peer, Server, World, run
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHAT = dict(SETTINGS["categories"][0])
 PATIENT = SETTINGS["limits"] | {"connect_timeout_ms": 8000.0}  # a connection that is held stays on its way
-SHORT = {"categories": [CHAT | {"deadline_ms": 900.0}]}
-
-
-def run(tmp: Path, body: Callable[[World], Awaitable[None]], **changes: Any) -> None:
-    async def inside() -> None:
-        async with relay(tmp, **changes) as world:
-            await body(world)
-
-    asyncio.run(inside())
+SHORT: dict[str, Any] = {"categories": [CHAT | {"deadline_ms": 900.0}]}
 
 
 async def until(true: Callable[[], bool]) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,21 +4,11 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
 
-from tests.stand_ins import SETTINGS, WAIT_S, Server, World, relay
-
-
-def run(tmp: Path, body: Callable[[World], Awaitable[None]], operator: str = "", **changes: Any) -> None:
-    async def inside() -> None:
-        async with relay(tmp, operator, **changes) as world:
-            await body(world)
-
-    asyncio.run(inside())
+from tests.stand_ins import SETTINGS, WAIT_S, Server, World, relay, run
 
 
 def test_a_job_is_placed_and_its_lines_flow_both_ways_unchanged(tmp_path: Path) -> None:
