Begin control: agents and controllers as pure cores, changes agreed on in the register

Cause: nothing brings a change of configuration to all relays (docs/CAPACITY.md). Ruled out: riding on members' rumours (each-to-all, over its allowance), a log with a leader. Change: control/ (state, agent, controller, link, codec, settings), off and wired to nothing; the codecs of turns' messages and files are classes now that both use, Parcels keeps as many sent messages as it is told.

--- /dev/null
+++ b/yarrowspindle/control/codec.py
@@ -0,0 +1,40 @@
+"""Messages of control as bytes, and what a voter's file holds: MessagePack by msgspec, pressed, bounded, checked."""
+
+from __future__ import annotations
+
+from yarrowspindle.control.messages import (
+    Beat,
+    Difference,
+    Later,
+    Learn,
+    Leave,
+    Moved,
+    Newest,
+    Sum,
+    Whole,
+)
+from yarrowspindle.control.state import DONE_MOST, NAME_MOST, ControlState, Order, bounds
+from yarrowspindle.turns.codec import BadMessage, FileCodec, Kinds
+from yarrowspindle.turns.register import Accept, Accepted, Kept, Prepare, Promise, Refused
+
+VERSION = 1
+VOTERS_MOST, TAKERS_MOST = 64, 64
+
+
+def within(state: ControlState | None) -> None:
+    """A state that no controller could have made is not taken up, whoever sent it."""
+    if state is None:
+        return
+    versions = [done.version for done in state.done]
+    if (not 0 < len(state.voters) <= VOTERS_MOST or len(state.takers) > TAKERS_MOST or len(versions) > DONE_MOST
+            or any(len(name) > NAME_MOST for name in [*state.voters, *state.takers])
+            or versions != list(range(state.version - len(versions) + 1, state.version + 1))
+            or min(state.version, state.epoch) < 0 or bounds(state.entries)):  # fmt: skip
+        raise BadMessage("a state out of bounds")
+
+
+KINDS = (Beat, Newest, Difference, Whole, Leave, Moved, Later, Sum, Learn, Order, Prepare, Promise[ControlState],
+         Accept[ControlState], Accepted, Refused[ControlState])  # fmt: skip
+MESSAGES = Kinds(VERSION, KINDS, within)
+FILE: FileCodec[ControlState] = FileCodec(VERSION, Kept[ControlState], within)
+encode, decode = MESSAGES.encode, MESSAGES.decode
--- /dev/null
+++ b/yarrowspindle/control/controller.py
@@ -0,0 +1,511 @@
+"""A controller's side of control: `(state, event) -> effects`, for real sockets and the virtual clock alike.
+
+Changes are agreed on in the register (`turns/register.py`) whose voters are among the controllers; the first by name
+of those that hear one another proposes. What is committed goes to the other controllers whole, and to each relay that
+talks with this one as the steps that it has not got, again until it says that it has them. What relays say goes to the
+other controllers as a sum.
+
+Rules
+1. Only committed states go to relays, and their versions only grow.
+2. Whoever proposes reads first; no controller leads by a clock or by what it believes of the others.
+3. Without a majority of the voters nothing changes, and what stands is still told.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from yarrowspindle.control.messages import (
+    COUNTS_MOST,
+    NAMED_MOST,
+    WHY_MOST,
+    Answer,
+    Beat,
+    Came,
+    Difference,
+    Effect,
+    Event,
+    Learn,
+    Leave,
+    Moved,
+    Named,
+    Newest,
+    Note,
+    Ordered,
+    Send,
+    Sender,
+    Shown,
+    Sum,
+    Took,
+    Vote,
+    Wake,
+    Whole,
+    Woke,
+)
+from yarrowspindle.control.settings import Machine
+from yarrowspindle.control.state import (
+    DONE_MOST,
+    Check,
+    ControlState,
+    Order,
+    Step,
+    bounds,
+    size,
+    stepped,
+)
+from yarrowspindle.routing.messages import Address
+from yarrowspindle.turns import register
+from yarrowspindle.turns.register import Accept, Accepted, Committed, Failed, Prepare, Promise, Proposer, Refused
+
+TICK_MS, SUM_MS = 100.0, 250.0  # how often it looks; how often the others are told
+SILENT_MS = 1000.0  # a controller that was not heard for so long is passed over
+LIVE_MS = 2000.0  # a relay that was not heard for so long is silent
+FORGET_MS = 60_000.0  # and after so long it is no longer named
+PUSH_MS = 200.0  # who has not confirmed is told again this often
+ORDER_MS, OWN_MS, EXPIRE_MS = 250.0, 1000.0, 10_000.0  # an order is said again; proposed by its taker; given up
+ROUND_MS, READ_MS, BACK_MOST_MS = 500.0, 10_000.0, 800.0
+LEARN_MS = 400.0  # a controller that is behind is told the state this often at most
+RELAYS_MOST, ORDERS_MOST, BATCH_MOST, LOG_MOST = 4096, 256, 16, 512
+
+
+@dataclass(slots=True)
+class Attached:
+    """A relay that talks with this controller. since: when it began to be behind or silent."""
+
+    sender: Sender
+    known: int
+    taken: int
+    why: str
+    heard: float
+    told: float = -1e9
+    since: float = 0.0
+    whole: bool = False
+
+
+@dataclass(slots=True)
+class Pending:
+    """An operator's order that this controller took. sent: to who proposes now."""
+
+    ticket: int
+    order: Order
+    at: float
+    sent: float = -1e9
+
+
+@dataclass(slots=True)
+class Other:
+    """Another controller, as last heard."""
+
+    machine: Machine
+    sum: Sum | None = None
+    heard: float = -1e9
+    life: int = 0
+    at: int = -1
+    told: float = -1e9  # the state
+    behind: int = 0  # sums in a row that were
+
+    def is_newer(self, sender: Sender) -> bool:
+        return (sender.life, sender.at) > (self.life, self.at)
+
+
+@dataclass(slots=True)
+class Round:
+    began: float = 0.0
+    wait_until: float = 0.0
+    failures: int = 0
+    read_at: float = -1e9
+    why: str = ""
+    led: bool = False  # this controller was the first by name when it last looked
+    queue: dict[tuple[str, int, int], tuple[Order, float]] = field(default_factory=dict)
+
+
+class Controller:
+    """identity: of this voter's file; empty: it does not vote. guide: the state of its file."""
+
+    def __init__(self, machine: Machine, machines: tuple[Machine, ...], first: ControlState, identity: str,
+                 guide: ControlState, life: int, check: Check, seed: int, now: float,
+                 proposer: type[Proposer[ControlState]] = Proposer) -> None:  # fmt: skip
+        self.me, self.check, self.identity, self.now, self.started = machine, check, identity, now, now
+        self.machines = {one.name: one for one in machines}
+        self.others = {one.name: Other(one) for one in machines if one is not machine}
+        self.random = Random(seed)
+        self.proposer = proposer(machine.name, first, self.random)
+        self.proposer.guide = max(first, guide, key=lambda s: s.epoch)
+        self.round = Round()
+        self.life, self.number = life, 0  # of the orders that this controller takes
+        self.pending: list[Pending] = []
+        self.relays: dict[Address, Attached] = {}
+        self.clashes: dict[str, float] = {}  # names that two relays have, and when that was said
+        self.log: dict[int, Step] = {}  # version -> its step, without a gap up to the newest
+        self.taken = first
+        self.digest = first.digest
+        self.took_at = now
+        self.in_force = 0  # the newest version of which that was said
+        self.sum_at = now
+        self.counts: Counter[str] = Counter()
+        self.effects: list[Effect] = [Wake(TICK_MS * self.random.random())]
+        self.handlers: dict[type, Callable[[Sender, Any], None]] = {
+            Beat: self._beat, Leave: self._leave, Moved: self._moved, Sum: self._sum, Learn: self._learn,
+            Order: self._order, Prepare: self._vote, Accept: self._vote, Promise: self._voted, Accepted: self._voted,
+            Refused: self._voted}  # fmt: skip
+
+    def step(self, now: float, event: Event) -> list[Effect]:
+        self.now = max(self.now, now)
+        if isinstance(event, Came):
+            handler = self.handlers.get(type(event.message))
+            if handler is not None:
+                handler(event.sender, event.message)
+        elif isinstance(event, Woke):
+            self._tick()
+        elif isinstance(event, Ordered):
+            self._ordered(event)
+        return self.take_effects()
+
+    def take_effects(self) -> list[Effect]:
+        effects, self.effects = self.effects, []
+        return effects
+
+    @property
+    def state(self) -> ControlState:
+        """The newest committed state that is known."""
+        return self.taken
+
+    def _send(self, to: str, message: object) -> None:
+        self.effects.append(Send(self.machines[to].sender, message))
+
+    # --- relays ---------------------------------------------------------------------------------
+
+    def _beat(self, sender: Sender, beat: Beat) -> None:
+        known = self.relays.get(sender.address)
+        if known is None:
+            if len(self.relays) >= RELAYS_MOST and not self._room():
+                self.counts["no_room"] += 1
+                return
+            self._clash(sender)
+        elif (sender.life, sender.at) <= (known.sender.life, known.sender.at):
+            return  # overtaken on its way
+        relay = Attached(sender, beat.known, beat.taken, beat.why, self.now, whole=beat.whole)
+        if known is not None:
+            relay.told, relay.since = (known.told, known.since) if known.known == beat.known else (-1e9, known.since)
+        self.relays[sender.address] = relay
+        if beat.before in self.others:
+            self._send(beat.before, Moved(sender.name, *sender.address))
+        version = self.taken.version
+        if beat.known > version:
+            self.counts["ahead"] += 1
+            self.effects.append(Note(f"relay {sender.name} has version {beat.known}, newer than what is agreed on here "
+                                     f"({version})", True))  # fmt: skip
+        self._mark(relay)
+        if beat.known < version and (beat.whole or self.now >= relay.told + PUSH_MS):
+            self._push([relay])
+        else:
+            self.effects.append(Send(sender, Newest(version, self.digest)))
+
+    def _room(self) -> bool:
+        """The relay that has been silent for the longest goes."""
+        address, oldest = min(self.relays.items(), key=lambda item: item[1].heard)
+        if self.now <= oldest.heard + LIVE_MS:
+            return False
+        del self.relays[address]
+        return True
+
+    def _clash(self, sender: Sender) -> None:
+        """Two relays of one name are both served; operators have to know."""
+        for other in self.relays.values():
+            if other.sender.name == sender.name and self.now <= other.heard + LIVE_MS:
+                if self.now >= self.clashes.get(sender.name, -1e9) + FORGET_MS and len(self.clashes) < RELAYS_MOST:
+                    self.clashes[sender.name] = self.now
+                    (a, b), (c, d) = other.sender.address, sender.address
+                    self.effects.append(Note(f"two relays are called {sender.name}: {a}:{b} and {c}:{d}", bad=True))
+                return
+
+    def _leave(self, sender: Sender, _: object) -> None:
+        known = self.relays.get(sender.address)
+        if known is not None and (sender.life, sender.at) > (known.sender.life, known.sender.at):
+            del self.relays[sender.address]
+
+    def _moved(self, sender: Sender, moved: Moved) -> None:
+        known = self.relays.get((moved.host, moved.port))
+        if sender.name in self.others and known is not None and self.now > known.heard + LIVE_MS / 2.0:
+            del self.relays[moved.host, moved.port]
+
+    def _mark(self, relay: Attached) -> None:
+        """Since when it is behind."""
+        if relay.taken >= self.taken.version:
+            relay.since = 0.0
+        elif not relay.since:
+            relay.since = self.now
+
+    def _push(self, relays: Iterable[Attached]) -> None:
+        """Each gets the steps that it has not got, or all entries where these are no longer known. One message for
+        all that are as far."""
+        made: dict[int, object] = {}
+        for relay in relays:
+            base = -1 if relay.whole else relay.known
+            if base not in made:
+                made[base] = self._steps(base)
+                self.counts["wholes" if isinstance(made[base], Whole) else "differences"] += 1
+            relay.told = self.now
+            self.effects.append(Send(relay.sender, made[base]))
+
+    def _steps(self, base: int) -> object:
+        version, entries = self.taken.version, self.taken.entries
+        steps = [self.log.get(number) for number in range(base + 1, version + 1)] if base >= 0 else [None]
+        found = [step for step in steps if step is not None]
+        if len(found) < len(steps) or len(found) > DONE_MOST or sum(map(size, found)) > size(entries) + 400:
+            return Whole(version, self.digest, dict(entries))
+        return Difference(base, version, self.digest, [dict(step) for step in found])
+
+    # --- other controllers ----------------------------------------------------------------------
+
+    @property
+    def leads(self) -> bool:
+        """The first by name of those that hear one another proposes; who that is need not be agreed on."""
+        return all(self.me.name < name for name, other in self.others.items() if self.now <= other.heard + SILENT_MS)
+
+    def _leader(self) -> str:
+        return min([n for n, o in self.others.items() if self.now <= o.heard + SILENT_MS], default=self.me.name)
+
+    def _sum(self, sender: Sender, told: Sum) -> None:
+        other = self.others.get(sender.name)
+        if other is None or not other.is_newer(sender):
+            return
+        other.sum, other.heard, other.life, other.at = told, self.now, sender.life, sender.at
+        other.behind = other.behind + 1 if told.version < self.taken.version else 0
+        if other.behind >= (1 if self.leads else 3):
+            self._teach(other)
+
+    def _teach(self, other: Other) -> None:
+        if self.now >= other.told + LEARN_MS:
+            other.told = self.now
+            self._send(other.machine.name, Learn(self.taken))
+
+    def _learn(self, sender: Sender, learn: Learn) -> None:
+        if sender.name in self.others:
+            self.proposer.learned(learn.state)
+            self._take()
+
+    def _take(self) -> None:
+        """A committed state that is newer: to all relays at once."""
+        state = self.proposer.known
+        if state.version <= self.taken.version:
+            return
+        steps = {done.version: done.step for done in state.done}
+        if min(steps, default=0) > self.taken.version + 1:
+            self.log.clear()  # there is a gap: relays that are further behind get all entries
+        self.log.update(steps)
+        for version in sorted(self.log)[: max(0, len(self.log) - LOG_MOST)]:
+            del self.log[version]
+        self.taken, self.digest, self.took_at = state, state.digest, self.now
+        self.effects.append(Took(state))
+        for relay in self.relays.values():
+            self._mark(relay)
+        self._push(self._behind())
+        life, _ = state.takers.get(self.me.name, (0, 0))
+        if life > self.life:
+            self._renumber(life + 1)  # an earlier process of this controller had a clock that was ahead
+        self._settle()
+
+    def _behind(self) -> list[Attached]:
+        """Living relays that have not got the newest."""
+        version = self.taken.version
+        return [r for r in self.relays.values() if r.known < version and self.now <= r.heard + LIVE_MS]
+
+    # --- agreeing -------------------------------------------------------------------------------
+
+    def _vote(self, sender: Sender, message: Prepare | Accept[ControlState]) -> None:
+        if sender.name not in self.machines:
+            return
+        if self.identity:
+            self.effects.append(Vote(sender, message))
+        else:
+            self.effects.append(Send(sender, Refused(message.ballot, register.NONE, not_voter=True)))
+
+    def _voted(self, sender: Sender, message: Any) -> None:
+        if sender.name in self.machines:
+            self._carry_out(self.proposer.told(sender.name, message))
+
+    def _carry_out(self, effects: list[register.Effect[ControlState]]) -> None:
+        now = self.round
+        for effect in effects:
+            if isinstance(effect, register.Send):
+                self._send(effect.to, effect.message)
+            elif isinstance(effect, Committed):
+                now.failures, now.read_at, now.why = 0, self.now, ""
+                newer = effect.state.version > self.taken.version
+                self._take()
+                if effect.changed or newer:
+                    for other in self.others.values():
+                        other.told = -1e9
+                        self._teach(other)
+            elif isinstance(effect, Failed):
+                now.why = effect.why
+                now.failures = min(now.failures + 1, 5)
+                now.wait_until = self.now + self.random.uniform(0.0, min(BACK_MOST_MS, 30.0 * 2.0**now.failures))
+        self._take()  # a round may show what is committed, and fail all the same
+
+    def _change(self, state: ControlState) -> ControlState | None:
+        """All orders that wait, in their turn, as one state; and this voter's new file."""
+        found = state
+        for _, (order, _) in sorted(self.round.queue.items())[:ORDERS_MOST]:
+            found = found.settled(order, self.check) or found
+            if found.version >= state.version + BATCH_MOST:
+                break
+        if self.identity and self.me.name in state.voters:
+            found = found.with_voter(self.me.name, self.identity) or found
+        return found if found.version > state.version else None
+
+    def _propose(self) -> None:
+        now = self.round
+        leads, led = self.leads, now.led
+        now.led = leads
+        for key, (order, at) in list(now.queue.items()):
+            if self.taken.is_settled(order) or self.now > at + EXPIRE_MS:
+                del now.queue[key]
+        if self.proposer.round is not None:
+            if self.now >= now.began + ROUND_MS:
+                self._carry_out(self.proposer.give_up("no majority of the voters in time"))
+            return
+        late = self.now >= now.read_at + READ_MS * (1.0 if leads else 3.0)
+        voter = self.identity and self.taken.voters.get(self.me.name, self.identity) != self.identity
+        if self.now >= now.wait_until and (now.queue or voter or late or leads and not led):
+            now.began = self.now
+            self._carry_out(self.proposer.start(self._change))
+
+    # --- orders ---------------------------------------------------------------------------------
+
+    def _ordered(self, event: Ordered) -> None:
+        why = bounds({k: v for k, v in event.step.items() if v is not None})
+        why = why or self.check(stepped(self.taken.entries, event.step))
+        if not why and len(self.pending) >= ORDERS_MOST:
+            why = f"{ORDERS_MOST} changes wait already"
+        if why:
+            self.effects.append(Answer(event.ticket, 0, why))
+            return
+        if self.taken.takers.get(self.me.name, (0, 0))[0] == self.life and not self.number:
+            self._renumber(self.life + 1)
+        self.number += 1
+        self.pending.append(Pending(event.ticket, Order(self.me.name, self.life, self.number, event.step), self.now))
+        self._hand_on()
+
+    def _renumber(self, life: int) -> None:
+        self.life, self.number = life, 0
+        for pending in self.pending:
+            self.number += 1
+            pending.order = Order(self.me.name, life, self.number, pending.order.step)
+            pending.sent = -1e9
+
+    def _hand_on(self) -> None:
+        """To who proposes now; by itself where that one does not get it settled."""
+        expired = [p for p in self.pending if self.now > p.at + EXPIRE_MS]
+        for pending in expired:
+            self.pending.remove(pending)
+            self.effects.append(Answer(pending.ticket, 0, "no majority of the voters has settled it in "
+                                       f"{EXPIRE_MS / 1000.0:g} s ({self.round.why or 'no answer'}): it may still "
+                                       "come, see `show`"))  # fmt: skip
+        if expired:
+            self._renumber(self.life + 1)
+        for pending in self.pending:
+            if self.leads or self.now > pending.at + OWN_MS:
+                self._enqueue(pending.order)
+            if not self.leads and self.now >= pending.sent + ORDER_MS:
+                pending.sent = self.now
+                self._send(self._leader(), pending.order)
+        if self.pending:
+            self._propose()
+
+    def _order(self, sender: Sender, order: Order) -> None:
+        if sender.name in self.others and order.taker == sender.name:
+            self._enqueue(order)
+            self._propose()
+
+    def _enqueue(self, order: Order) -> None:
+        queue, key = self.round.queue, (order.taker, order.life, order.number)
+        if not self.taken.is_settled(order) and (key in queue or len(queue) < ORDERS_MOST):
+            queue.setdefault(key, (order, self.now))
+
+    def _settle(self) -> None:
+        """Answers for orders that stand in the newest state."""
+        found = {(d.life, d.number): d for d in self.taken.done if d.taker == self.me.name}
+        for pending in [p for p in self.pending if self.taken.is_settled(p.order)]:
+            self.pending.remove(pending)
+            done = found.get((pending.order.life, pending.order.number))
+            if done is None:
+                self.effects.append(Answer(pending.ticket, 0, "it was settled a while ago: see `show`"))
+            else:
+                self.effects.append(Answer(pending.ticket, 0 if done.why else done.version, done.why))
+
+    # --- time -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        self._hand_on()
+        self._propose()
+        self._push([r for r in self._behind() if self.now >= r.told + PUSH_MS])
+        if self.now >= self.sum_at:
+            self.sum_at = self.now + SUM_MS
+            for address in [a for a, r in self.relays.items() if self.now > r.heard + FORGET_MS]:
+                del self.relays[address]
+            told = self.summed()
+            for name in self.others:
+                self._send(name, told)
+            self._say(told)
+        self.effects.append(Wake(TICK_MS * self.random.uniform(0.9, 1.1)))
+
+    def summed(self) -> Sum:
+        """Of the relays that talk with this controller."""
+        living = [r for r in self.relays.values() if self.now <= r.heard + LIVE_MS]
+        counts = sorted(Counter(r.taken for r in living).items())
+        if len(counts) > COUNTS_MOST:
+            counts = [*counts[: COUNTS_MOST - 1], (counts[COUNTS_MOST - 1][0], sum(n for _, n in counts[COUNTS_MOST:]))]
+        named = [Named(r.sender.name, r.taken, max(0, int(self.now - since)), why)
+                 for r, since, why in self._wanting()]  # fmt: skip
+        return Sum(self.taken.version, len(living), counts, named[:NAMED_MOST], max(0, len(named) - NAMED_MOST))
+
+    def _wanting(self) -> list[tuple[Attached, float, str]]:
+        """Relays that are silent, refuse or are behind, those of the longest standing first; since when; and why."""
+        found = []
+        for relay in self.relays.values():
+            if self.now > relay.heard + LIVE_MS:
+                found.append((relay, relay.heard, "silent"))
+            elif relay.taken < self.taken.version:
+                found.append((relay, relay.since, relay.why[:WHY_MOST] or "behind"))
+        return sorted(found, key=lambda one: one[1])
+
+    def _say(self, own: Sum) -> None:
+        """Once for each version that all living relays have taken."""
+        shown = self.shown(own)
+        if self.leads and shown["in_force"] > self.in_force:
+            self.in_force = shown["in_force"]
+            took = (self.now - self.took_at) / 1000.0
+            self.effects.append(Note(f"version {self.in_force} is in force at {shown['relays']} relays, {took:.1f} s "
+                                     f"after it was agreed on; {len(shown['named'])} are named"))  # fmt: skip
+
+    def shown(self, own: Sum | None = None) -> Shown:
+        """What an operator asks for. in_force: the newest version that all living relays of all controllers that are
+        heard serve by; named: relays that are behind, silent or refuse; controllers: who is heard, since when in
+        seconds."""
+        sums = {self.me.name: own or self.summed()}
+        controllers = {self.me.name: {"silent_s": 0.0, "relays": sums[self.me.name].relays, "version":
+                                      self.taken.version}}  # fmt: skip
+        for name, other in self.others.items():
+            silent = self.now - other.heard
+            known = other.sum
+            controllers[name] = {"silent_s": round(min(silent, self.now - self.started) / 1000.0, 1),
+                                 "relays": known.relays if known else 0, "version": known.version if known else 0}
+            if known is not None and silent <= SILENT_MS:
+                sums[name] = known
+        lowest = min((count[0] for told in sums.values() for count in told.counts), default=self.taken.version)
+        lowest = min(lowest, *(told.version for told in sums.values()))
+        return {"version": self.taken.version, "digest": self.digest.hex(), "in_force": lowest,
+                "relays": sum(told.relays for told in sums.values()), "leads": self.leads,
+                "voters": sorted(self.taken.voters), "votes": bool(self.identity), "round": self.round.why,
+                "controllers": controllers, "waiting": len(self.pending),
+                "named": [{"relay": n.name, "version": n.taken, "for_s": n.age_ms / 1000.0, "why": n.why,
+                           "controller": name} for name, told in sorted(sums.items()) for n in told.named],
+                "more": sum(told.more for told in sums.values()),
+                "refused": [{"version": d.version, "why": d.why} for d in self.taken.done if d.why][-8:],
+                "entries": dict(self.taken.entries)}  # fmt: skip
--- /dev/null
+++ b/yarrowspindle/control/state.py
@@ -0,0 +1,120 @@
+"""What the controllers agree on: the entries that all relays serve by, under versions that grow by one. Pure.
+
+A version has one content: the register commits one state under it, and the digest speaks of version and entries. Each
+change is a step of its own, kept for a while, so that who is behind gets the steps in their order and skips none.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from hashlib import blake2b
+
+Entries = Mapping[str, str]  # key -> JSON text
+Step = Mapping[str, str | None]  # what one change sets; None: removes
+Check = Callable[[Entries], str]  # why a relay cannot serve by these entries; empty: it can. The same at all relays
+
+KEY_MOST, VALUE_MOST, ENTRIES_MOST, CONTENT_MOST = 64, 16_384, 128, 65_536  # characters; entries; characters in all
+DONE_MOST, STEPS_MOST = 64, 32_768  # newest steps kept in the state, and their characters
+NAME_MOST = 64
+
+
+class ControlError(ValueError):
+    """A change or a setting that makes no sense; the text says why."""
+
+
+def size(step: Step) -> int:
+    """Characters of keys and values."""
+    return sum(len(key) + len(value or "") for key, value in step.items())
+
+
+def bounds(entries: Entries) -> str:
+    """What is out of bounds in entries; empty: nothing."""
+    for key, value in entries.items():
+        if not 0 < len(key) <= KEY_MOST or len(value) > VALUE_MOST:
+            return f"{key[:KEY_MOST]!r}: a key has 1 to {KEY_MOST} characters, a value {VALUE_MOST} at most"
+    if len(entries) > ENTRIES_MOST or size(entries) > CONTENT_MOST:
+        return f"{len(entries)} entries of {size(entries)} characters: {ENTRIES_MOST} and {CONTENT_MOST} at most"
+    return ""
+
+
+def digest(version: int, entries: Entries) -> bytes:
+    """Of 8 bytes: equal where version and content are."""
+    text = repr((version, sorted(entries.items())))
+    return blake2b(text.encode(), digest_size=8).digest()
+
+
+def stepped(entries: Entries, step: Step) -> dict[str, str]:
+    """The entries after a change."""
+    found = {key: value for key, value in entries.items() if key not in step}
+    return found | {key: value for key, value in step.items() if value is not None}
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """A change that an operator gave to `taker`, a controller, as the number-th of that life of its orders. Each is
+    settled once and in its turn: one that was held up on its way undoes nothing newer."""
+
+    taker: str
+    life: int
+    number: int
+    step: Step
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """The step to a version. why: it was refused, and changes nothing; taker, life, number: whose order it was."""
+
+    version: int
+    step: Step
+    why: str = ""
+    taker: str = ""
+    life: int = 0
+    number: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class ControlState:
+    """voters: name -> identity of the voter's file. takers: controller -> life and number of its newest settled
+    order. done: the newest steps, oldest first, without a gap up to `version`."""
+
+    voters: Mapping[str, str] = field(default_factory=dict)
+    version: int = 0
+    epoch: int = 0
+    entries: Entries = field(default_factory=dict)
+    takers: Mapping[str, tuple[int, int]] = field(default_factory=dict)
+    done: Sequence[Done] = ()
+
+    @property
+    def digest(self) -> bytes:
+        return digest(self.version, self.entries)
+
+    def at_epoch(self, epoch: int) -> ControlState:
+        return replace(self, epoch=epoch)
+
+    def is_settled(self, order: Order) -> bool:
+        return (order.life, order.number) <= self.takers.get(order.taker, (0, 0))
+
+    def settled(self, order: Order, check: Check) -> ControlState | None:
+        """With this order's step, or its refusal, as the next version; None: it is settled, or not yet its turn."""
+        life, number = self.takers.get(order.taker, (0, 0))
+        if (order.life, order.number) != (life, number + 1) and not (order.life > life and order.number == 1):
+            return None
+        entries = stepped(self.entries, order.step)
+        why = bounds(entries) or check(entries)
+        done = Done(self.version + 1, {} if why else order.step, why, order.taker, order.life, order.number)
+        takers = dict(self.takers) | {order.taker: (order.life, order.number)}
+        return replace(self._with(done), entries=self.entries if why else entries, takers=takers)
+
+    def with_voter(self, name: str, identity: str) -> ControlState | None:
+        """This voter has another file from here on; None: it has it already."""
+        if self.voters.get(name) == identity:
+            return None
+        changed = self._with(Done(self.version + 1, {}))
+        return replace(changed, voters=dict(self.voters) | {name: identity}, epoch=self.epoch + 1)
+
+    def _with(self, done: Done) -> ControlState:
+        kept = [*self.done, done][-DONE_MOST:]
+        while len(kept) > 1 and sum(size(one.step) for one in kept) > STEPS_MOST:
+            del kept[0]
+        return replace(self, version=done.version, done=tuple(kept))
--- a/yarrowspindle/lab/model/peering.py
+++ b/yarrowspindle/lab/model/peering.py
@@ -27,7 +27,7 @@
                  told: Callable[[Others], None]) -> None:  # fmt: skip
         self.net, self.index, self.own, self.told = net, index, own, told
         self.party, self.address = f"r{index}", address_of(index)
-        settings = net.settings(self.address)
+        settings = net.settings(self.address, index)
         # Each process has a clock of its own, that says nothing of the others'.
         self.offset = net.random.uniform(0.0, 1e9)
         self.made = (settings, net.names.get(index, self.party), life, net.random.randrange(1 << 32), self.now())
@@ -93,11 +93,12 @@
 
 
 class VirtualNet:
-    """`changes`: of the peers' settings. latency: of a datagram, in milliseconds. seeds: so many relays are seeds."""
+    """`changes`: of the peers' settings. latency: of a datagram, in milliseconds. seeds: so many relays are seeds.
+    cell: so many relays, by their index, are a cluster with seeds of its own; 0: all are one."""
 
     def __init__(self, clock: VirtualClock, seed: int, seeds: int = 2, latency: tuple[float, float] = (0.1, 2.0),
-                 **changes: object) -> None:  # fmt: skip
-        self.clock, self.seeds, self.latency, self.changes = clock, seeds, latency, changes
+                 cell: int = 0, **changes: object) -> None:  # fmt: skip
+        self.clock, self.seeds, self.latency, self.cell, self.changes = clock, seeds, latency, cell, changes
         self.random, self.wires = Random(f"net {seed}"), Random(f"wires {seed}")
         self.ways = Ways(seed)
         self.peers: dict[int, VirtualPeer] = {}
@@ -106,8 +107,12 @@
         self.lives = 0
         self.bytes = self.datagrams = 0
 
-    def settings(self, address: Address) -> PeerSettings:
-        return PeerSettings(address, tuple(address_of(n) for n in range(self.seeds)), **self.changes)  # type: ignore[arg-type]
+    def settings(self, address: Address, index: int) -> PeerSettings:
+        changes, first = dict(self.changes), 0
+        if self.cell:
+            first = index - index % self.cell
+            changes["cluster"] = f"cell{index // self.cell}"
+        return PeerSettings(address, tuple(address_of(first + n) for n in range(self.seeds)), **changes)  # type: ignore[arg-type]
 
     def add(self, index: int, own: Callable[[], Own], told: Callable[[Others], None]) -> VirtualPeer:
         """A process of this relay starts now; one that was there must have ended."""
--- a/yarrowspindle/turns/codec.py
+++ b/yarrowspindle/turns/codec.py
@@ -6,31 +6,90 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
 from yarrowspindle.turns.core import Behind, Enter, Learn, Newest, Says
-from yarrowspindle.turns.register import Accept, Accepted, Kept, Prepare, Promise, Refused
+from yarrowspindle.turns.register import Accept, Accepted, Held, Kept, Prepare, Promise, Refused
 from yarrowspindle.turns.state import MACHINES_MOST, NAME_MOST, RELAYS_MOST, REQUESTS_MOST, TurnState
 
 VERSION = 1
 MOST = 1 << 20  # bytes of a message once it is unpressed
-KINDS: dict[int, Any] = {1: Prepare, 2: Promise[TurnState], 3: Accept[TurnState], 4: Accepted, 5: Refused[TurnState],
-                         6: Learn, 7: Behind, 8: Says, 9: Enter, 10: Newest}  # fmt: skip
-OF = {Prepare: 1, Promise: 2, Accept: 3, Accepted: 4, Refused: 5, Learn: 6, Behind: 7, Says: 8, Enter: 9, Newest: 10}
-_encode = msgspec.msgpack.Encoder().encode
-_decoders = {kind: msgspec.msgpack.Decoder(body) for kind, body in KINDS.items()}
-_kept = msgspec.msgpack.Decoder(Kept[TurnState])
-_file: msgspec.msgpack.Decoder[tuple[int, int, str, str, msgspec.Raw]] = msgspec.msgpack.Decoder(
-    tuple[int, int, str, str, msgspec.Raw])  # fmt: skip
 TROUBLES = (msgspec.DecodeError, msgspec.ValidationError, ValueError, zlib.error, OverflowError)
+_encode = msgspec.msgpack.Encoder().encode
+S = TypeVar("S", bound=Held)
 
 
 class BadMessage(Exception):
     """What came makes no sense; the text says why, in a few words."""
 
 
+class Kinds:
+    """Messages of some types as bytes: a version, the kind, the pressed body. kinds: numbered from 1 in their order.
+    within: raises BadMessage for a state that is out of bounds."""
+
+    def __init__(self, version: int, kinds: Sequence[Any], within: Callable[[Any], None]) -> None:
+        self.version, self.within = version, within
+        self.numbers = {getattr(kind, "__origin__", kind): n for n, kind in enumerate(kinds, 1)}
+        self.decoders = {n: msgspec.msgpack.Decoder(kind) for n, kind in enumerate(kinds, 1)}
+
+    def encode(self, message: Any) -> bytes:
+        return bytes((self.version, self.numbers[type(message)])) + zlib.compress(_encode(message), 1)
+
+    def decode(self, data: bytes) -> Any:
+        """Raises BadMessage."""
+        if len(data) < 3 or data[0] != self.version:
+            raise BadMessage("another version")
+        decoder = self.decoders.get(data[1])
+        if decoder is None:
+            raise BadMessage("an unknown kind")
+        try:
+            unpress = zlib.decompressobj()
+            plain = unpress.decompress(data[2:], MOST)
+            if not unpress.eof:
+                raise BadMessage("too long")
+            message = decoder.decode(plain)
+        except TROUBLES:
+            raise BadMessage("nonsense") from None
+        self.within(getattr(message, "state", None) or getattr(message, "newer", None))
+        return message
+
+
+class FileCodec(Generic[S]):
+    """What a voter keeps, as the bytes of its file. kept: the type `Kept` of the state."""
+
+    def __init__(self, version: int, kept: Any, within: Callable[[Any], None]) -> None:
+        self.version, self.within = version, within
+        self.kept: msgspec.msgpack.Decoder[Kept[S]] = msgspec.msgpack.Decoder(kept)
+        self.head = msgspec.msgpack.Decoder(tuple[int, int, str, str, msgspec.Raw])
+
+    def encode(self, kept: Kept[S], owner: str, cluster: str) -> bytes:
+        body = _encode(kept)
+        return _encode((self.version, zlib.crc32(body), owner, cluster, msgspec.Raw(body)))
+
+    def decode(self, data: bytes, owner: str, cluster: str) -> Kept[S]:
+        """Raises BadMessage where the file is cut off, changed, another relay's, or of another cluster."""
+        try:
+            version, check, whose, where, raw = self.head.decode(data)
+        except TROUBLES:
+            raise BadMessage("it is cut off, or no such file") from None
+        body = bytes(raw)
+        if version != self.version:
+            raise BadMessage(f"its version is {version}, not {self.version}")
+        if zlib.crc32(body) != check:
+            raise BadMessage("its sum is wrong")
+        if (whose, where) != (owner, cluster):
+            raise BadMessage(f"it is {whose}'s of cluster {where}")
+        try:
+            kept = self.kept.decode(body)
+        except TROUBLES:
+            raise BadMessage("nonsense") from None
+        self.within(kept.state)
+        return kept
+
+
 def _within(state: TurnState | None) -> None:
     """A state that no relay could have made is not taken up, whoever sent it."""
     if state is None:
@@ -43,49 +102,8 @@
         raise BadMessage("a state out of bounds")
 
 
-def encode(message: Any) -> bytes:
-    return bytes((VERSION, OF[type(message)])) + zlib.compress(_encode(message), 1)
-
-
-def decode(data: bytes) -> Any:
-    if len(data) < 3 or data[0] != VERSION:
-        raise BadMessage("another version")
-    decoder = _decoders.get(data[1])
-    if decoder is None:
-        raise BadMessage("an unknown kind")
-    try:
-        unpress = zlib.decompressobj()
-        plain = unpress.decompress(data[2:], MOST)
-        if not unpress.eof:
-            raise BadMessage("too long")
-        message = decoder.decode(plain)
-    except TROUBLES:
-        raise BadMessage("nonsense") from None
-    _within(getattr(message, "state", None) or getattr(message, "newer", None))
-    return message
-
-
-def encode_file(kept: Kept[TurnState], owner: str, cluster: str) -> bytes:
-    body = _encode(kept)
-    return _encode((VERSION, zlib.crc32(body), owner, cluster, msgspec.Raw(body)))
-
-
-def decode_file(data: bytes, owner: str, cluster: str) -> Kept[TurnState]:
-    """Raises BadMessage where the file is cut off, changed, another relay's, or of another cluster."""
-    try:
-        version, check, whose, where, raw = _file.decode(data)
-    except TROUBLES:
-        raise BadMessage("it is cut off, or no such file") from None
-    body = bytes(raw)
-    if version != VERSION:
-        raise BadMessage(f"its version is {version}, not {VERSION}")
-    if zlib.crc32(body) != check:
-        raise BadMessage("its sum is wrong")
-    if (whose, where) != (owner, cluster):
-        raise BadMessage(f"it is {whose}'s of cluster {where}")
-    try:
-        kept = _kept.decode(body)
-    except TROUBLES:
-        raise BadMessage("nonsense") from None
-    _within(kept.state)
-    return kept
+MESSAGES = Kinds(VERSION, (Prepare, Promise[TurnState], Accept[TurnState], Accepted, Refused[TurnState], Learn, Behind,
+                           Says, Enter, Newest), _within)  # fmt: skip
+FILE: FileCodec[TurnState] = FileCodec(VERSION, Kept[TurnState], _within)
+encode, decode = MESSAGES.encode, MESSAGES.decode
+encode_file, decode_file = FILE.encode, FILE.decode
--- a/yarrowspindle/turns/parcels.py
+++ b/yarrowspindle/turns/parcels.py
@@ -40,10 +40,11 @@
 
 
 class Parcels:
-    """first: a number that an earlier process of this relay has not used of late; any will do."""
+    """first: a number that an earlier process of this relay has not used of late; any will do. sent_most: messages
+    that are kept to send parts again."""
 
-    def __init__(self, first: int) -> None:
-        self.number = first
+    def __init__(self, first: int, sent_most: int = SENT_MOST) -> None:
+        self.number, self.sent_most = first, sent_most
         self.sent: OrderedDict[tuple[str, int], list[bytes]] = OrderedDict()
         self.half: OrderedDict[tuple[str, int], Half] = OrderedDict()
         self.whole: OrderedDict[tuple[str, int], None] = OrderedDict()
@@ -56,7 +57,7 @@
         parts = [self._encode(Part(self.number, i, len(pieces), piece)) for i, piece in enumerate(pieces)]
         if len(parts) > 1:
             self.sent[to, self.number] = parts
-            while len(self.sent) > SENT_MOST:
+            while len(self.sent) > self.sent_most:
                 self.sent.popitem(last=False)
         return parts
 
