--- a/yarrowspindle/control/agent.py
+++ b/yarrowspindle/control/agent.py
@@ -125,7 +125,7 @@
             before = self.before
         self.counts["beats"] += 1
         self.effects.append(Send(to.sender, Beat(self.known, self.digest, self.taken, self.why[:WHY_MOST], self.whole,
-                                                 before)))  # fmt: skip
+                                                 to is self.current, before)))  # fmt: skip
 
     def _came(self, event: Came) -> None:
         rank = self.rank.get(event.sender.name)
@@ -140,8 +140,8 @@
             self._move(source)
         if source is self.current:
             self.heard, self.asked_at = self.now, -1.0
-        else:
-            self.effects.append(Send(source.sender, Leave()))
+        elif not isinstance(message, Newest):
+            self.effects.append(Send(source.sender, Leave()))  # it takes this relay for its own
         if isinstance(message, Newest):
             self._newest(message)
         elif isinstance(message, Difference):
--- a/yarrowspindle/control/controller.py
+++ b/yarrowspindle/control/controller.py
@@ -68,6 +68,7 @@
 PUSH_MS = 200.0  # who has not confirmed is told again this often
 ORDER_MS, OWN_MS, EXPIRE_MS = 250.0, 1000.0, 10_000.0  # an order is said again; proposed by its taker; given up
 ROUND_MS, READ_MS, BACK_MOST_MS = 500.0, 10_000.0, 800.0
+AHEAD_MS = 5000.0  # a relay that knows more for so long did not just hear it elsewhere
 LEARN_MS = 400.0  # a controller that is behind is told the state this often at most
 RELAYS_MOST, ORDERS_MOST, BATCH_MOST, LOG_MOST = 4096, 256, 16, 512
 
@@ -180,6 +181,10 @@
     # --- relays ---------------------------------------------------------------------------------
 
     def _beat(self, sender: Sender, beat: Beat) -> None:
+        version = self.taken.version
+        if not beat.attached:
+            self.effects.append(Send(sender, Newest(version, self.digest)))
+            return
         known = self.relays.get(sender.address)
         if known is None:
             if len(self.relays) >= RELAYS_MOST and not self._room():
@@ -194,8 +199,7 @@
         self.relays[sender.address] = relay
         if beat.before in self.others:
             self._send(beat.before, Moved(sender.name, *sender.address))
-        version = self.taken.version
-        if beat.known > version:
+        if beat.known > version and self.now > max(self.took_at, self.started) + AHEAD_MS:
             self.counts["ahead"] += 1
             self.effects.append(Note(f"relay {sender.name} has version {beat.known}, newer than what is agreed on here "
                                      f"({version})", True))  # fmt: skip
@@ -401,13 +405,13 @@
 
     def _hand_on(self) -> None:
         """To who proposes now; by itself where that one does not get it settled."""
-        expired = [p for p in self.pending if self.now > p.at + EXPIRE_MS]
-        for pending in expired:
-            self.pending.remove(pending)
-            self.effects.append(Answer(pending.ticket, 0, "no majority of the voters has settled it in "
-                                       f"{EXPIRE_MS / 1000.0:g} s ({self.round.why or 'no answer'}): it may still "
-                                       "come, see `show`"))  # fmt: skip
-        if expired:
+        if self.pending and self.now > self.pending[0].at + EXPIRE_MS:
+            # In their turn none after it is settled either. All end: no order ever goes under two numbers.
+            for pending in self.pending:
+                self.effects.append(Answer(pending.ticket, 0, "no majority of the voters has settled it in "
+                                           f"{EXPIRE_MS / 1000.0:g} s ({self.round.why or 'no answer'}): it may still "
+                                           "come, see `show`"))  # fmt: skip
+            self.pending.clear()
             self._renumber(self.life + 1)
         for pending in self.pending:
             if self.leads or self.now > pending.at + OWN_MS:
--- a/yarrowspindle/control/messages.py
+++ b/yarrowspindle/control/messages.py
@@ -31,14 +31,15 @@
 
 class Beat(Struct, array_like=True, frozen=True):
     """A relay is there. known: the newest version that it has, of this digest; taken: the one that it serves by, older
-    only where it refused the newest, for which `why` stands. whole: send all entries. before: the controller that it
-    talked with until now."""
+    only where it refused the newest, for which `why` stands. whole: send all entries. attached: the relay talks with
+    this controller, and does not only ask whether it is there. before: the one that it talked with until now."""
 
     known: Number
     digest: Digest
     taken: Number
     why: Why = ""
     whole: bool = False
+    attached: bool = False
     before: Name = ""
 
 
--- /dev/null
+++ b/yarrowspindle/lab/model/controlling.py
@@ -0,0 +1,501 @@
+"""Control on the virtual clock: agents and controllers in zones and regions, with faults, and what may never be.
+
+The checker sees what controllers take as agreed on, what relays serve by, and what operators are answered; it looks
+into no core. All messages go as bytes, in datagrams. Each process has a clock of its own, minutes apart.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from yarrowspindle.control.agent import Agent
+from yarrowspindle.control.controller import Controller
+from yarrowspindle.control.link import Link
+from yarrowspindle.control.messages import (
+    Answer,
+    Came,
+    Keep,
+    Ordered,
+    Send,
+    Sender,
+    Take,
+    Took,
+    Turned,
+    Vote,
+    Wake,
+    Woke,
+)
+from yarrowspindle.control.settings import Machine, preferred
+from yarrowspindle.control.state import ControlState, Done, Entries, Step, stepped
+from yarrowspindle.lab.faults import Ways
+from yarrowspindle.lab.model.clock import VirtualClock
+from yarrowspindle.peers.codec import Dropped
+from yarrowspindle.routing.messages import Address
+from yarrowspindle.turns.parcels import AGAIN_MS
+from yarrowspindle.turns.register import NONE, Kept, Proposer, Voter
+
+CLUSTER = "fleet"
+FIRST = "first"
+ZONES = ("z1", "z2", "z3", "z4", "z5", "z6")
+REGIONS = {"z1": "a", "z2": "a", "z3": "a", "z4": "b", "z5": "b", "z6": "b"}
+LATENCY = {0: (0.2, 1.0), 1: (0.5, 3.0), 2: (15.0, 40.0)}  # milliseconds in a zone, in a region, between regions
+DISK_MS = (1.0, 8.0)  # until a voter's file is written
+WAITING_MOST = 300  # datagrams that wait in a stopped process's socket; more are lost
+PORT = 7950
+
+
+def controllers_of(count: int, voters: int) -> tuple[Machine, ...]:
+    """Spread over zones and regions; the voters in as many zones as there are."""
+    found = []
+    for n in range(count):
+        zone = ZONES[n % len(ZONES)]
+        found.append(Machine(f"c{n:02d}", (f"10.200.0.{n + 1}", PORT), zone, REGIONS[zone], n < voters))
+    return tuple(found)
+
+
+def check(entries: Entries) -> str:
+    """What a relay could not serve by, in this model."""
+    bad = [key for key, value in entries.items() if value == "nonsense"]
+    return f"{bad[0]} makes no sense" if bad else ""
+
+
+@dataclass(slots=True, frozen=True)
+class ControlParts:
+    """Of which the processes are made; tests plant defects by others. forgets: voters' files are not written; lies: a
+    lost file is made anew under the identity of the one before; unkept: relays do not keep what they took."""
+
+    agent: type[Agent] = Agent
+    controller: type[Controller] = Controller
+    voter: type[Voter[ControlState]] = Voter
+    proposer: type[Proposer[ControlState]] = Proposer
+    state: type[ControlState] = ControlState
+    forgets: bool = False
+    lies: bool = False
+    unkept: bool = False
+
+
+@dataclass(slots=True)
+class Change:
+    """An operator's order as the world knows it. missing: living relays that do not serve by it yet."""
+
+    step: Step
+    at: float
+    version: int = 0
+    answered: str | None = None
+    answered_s: float = -1.0
+    agreed_s: float = -1.0
+    in_force_s: float = -1.0
+    missing: set[str] = field(default_factory=set)
+
+
+class ControlChecker:
+    """Rules on what was agreed on, served and answered."""
+
+    def __init__(self) -> None:
+        self.violations: list[str] = []
+        self.done: dict[int, Done] = {}
+        self.contents: dict[int, Entries] = {0: {}}
+        self.orders: dict[tuple[str, int, int], int] = {}
+        self.served: dict[str, int] = {}
+        self.older = self.two = 0
+
+    def broken(self, text: str) -> None:
+        if len(self.violations) < 20:
+            self.violations.append(text)
+
+    def took(self, controller: str, state: ControlState) -> None:
+        known = self.contents.setdefault(state.version, dict(state.entries))
+        if known != state.entries:
+            self.two += 1
+            self.broken(f"two contents under version {state.version}: {controller} took another")
+        for done in state.done:
+            if self.done.setdefault(done.version, done) != done:
+                self.two += 1
+                self.broken(f"two steps to version {done.version}: {controller} took another")
+            if done.taker:
+                order = (done.taker, done.life, done.number)
+                if self.orders.setdefault(order, done.version) != done.version:
+                    self.broken(f"order {order} was settled by versions {self.orders[order]} and {done.version}")
+            before = self.contents.get(done.version - 1)
+            if before is not None and done.version not in self.contents:
+                self.contents[done.version] = stepped(before, done.step)
+        before = self.contents.get(state.version - 1)
+        last = self.done.get(state.version)
+        if before is not None and last is not None and stepped(before, last.step) != state.entries:
+            self.broken(f"version {state.version} is not version {state.version - 1} and its step")
+
+    def took_down(self, relay: str, version: int, entries: Entries, lives_on: bool) -> None:
+        """A relay serves by this from now on. lives_on: it knows what it served by before."""
+        known = self.contents.get(version)
+        if known is None:
+            self.broken(f"{relay} serves by version {version}, which nobody agreed on")
+        elif known != entries:
+            self.two += 1
+            self.broken(f"{relay} serves by another content of version {version}")
+        if check(entries):
+            self.broken(f"{relay} serves by nonsense of version {version}")
+        if lives_on and version < self.served.get(relay, 0):
+            self.older += 1
+            self.broken(f"{relay} serves by version {version} after {self.served[relay]}")
+        self.served[relay] = version
+
+    def answered(self, change: Change, version: int, why: str) -> None:
+        done = self.done.get(version)
+        if version and (done is None or dict(done.step) != dict(change.step)):
+            self.broken(f"an operator was told that a change stands in version {version}, which it does not")
+        if not version and "may still" not in why and any(d.step == change.step for d in self.done.values()):
+            self.broken(f"an operator was told that a change is turned down ({why}), and it stands")
+
+
+class Host:
+    """A process of a controller or a relay."""
+
+    def __init__(self, world: ControlWorld, name: str, address: Address, zone: str) -> None:
+        self.world, self.name, self.address, self.zone, self.region = world, name, address, zone, REGIONS[zone]
+        self.alive, self.stalled_until = True, 0.0
+        self.ahead_ms = world.random.uniform(0.0, 600_000.0)  # of its clock
+        self.life = world.life(name)
+        self.link = Link(name, address, CLUSTER, self.life, world.random.getrandbits(40), self.now())
+        self.core: Agent | Controller
+        self.waiting: list[tuple[bytes, Address]] = []
+        self.asks = False  # for parts that are missing
+        self.log: list[tuple[float, str]] = []
+        self.spent = 0.0  # seconds of processor time, where the world measures
+
+    def now(self) -> float:
+        return self.world.clock.now() - self.world.clock.start + self.ahead_ms
+
+    def post(self, event: Any) -> None:
+        if not self.alive:
+            return
+        left = self.stalled_until - self.world.clock.now()
+        if left > 0.0:  # a stopped process: all of it waits
+            self.world.clock.after(left + self.world.random.random(), self.post, event)
+            return
+        if self.world.measures:
+            began = time.thread_time()
+            effects = self.core.step(self.now(), event)
+            self.spent += time.thread_time() - began
+        else:
+            effects = self.core.step(self.now(), event)
+        self.carry_out(effects)
+
+    def carry_out(self, effects: Sequence[Any]) -> None:
+        for effect in effects:
+            if not self.alive:
+                return
+            if isinstance(effect, Send):
+                self.send(effect.to.address, effect.message)
+            elif isinstance(effect, Wake):
+                self.world.clock.after(effect.delay_ms, self.post, Woke())
+            else:
+                self.effect(effect)
+
+    def effect(self, effect: Any) -> None:
+        self.log.append((self.world.clock.seconds, effect.text))
+
+    def send(self, to: Address, message: object) -> None:
+        if to == self.address:
+            # At once, but after what is under way here.
+            self.world.clock.after(0.0, self.post, Came(Sender(self.name, self.address, self.life, 0), message))
+            return
+        began = time.thread_time() if self.world.measures else 0.0
+        datagrams = self.link.packed(self.now(), to, message)
+        if self.world.measures:
+            self.spent += time.thread_time() - began
+        for data in datagrams:
+            self.world.send(self, to, data)
+        self.world.stepped(self, message)
+
+    def came(self, data: bytes, source: Address) -> None:
+        if not self.alive:
+            return
+        if self.stalled_until > self.world.clock.now():
+            if len(self.waiting) < WAITING_MOST:
+                self.waiting.append((data, source))
+                if len(self.waiting) == 1:
+                    self.world.clock.after(self.stalled_until - self.world.clock.now(), self._awake)
+            return
+        began = time.thread_time() if self.world.measures else 0.0
+        try:
+            sender, message, back = self.link.came(self.now(), data, source)
+        except Dropped:
+            return
+        finally:
+            if self.world.measures:
+                self.spent += time.thread_time() - began
+        for datagram in back:
+            self.world.send(self, sender.address, datagram)
+        if message is not None:
+            self.post(Came(sender, message))
+        self._ask()
+
+    def _awake(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for data, source in waiting:
+            self.came(data, source)
+
+    def _ask(self) -> None:
+        if self.link.parcels.half and not self.asks:
+            self.asks = True
+            self.world.clock.after(AGAIN_MS, self._asked)
+
+    def _asked(self) -> None:
+        self.asks = False
+        if self.alive and self.stalled_until <= self.world.clock.now():
+            for to, data in self.link.due(self.now()):
+                self.world.send(self, to, data)
+        if self.alive:
+            self._ask()
+
+
+class RelayHost(Host):
+    core: Agent
+
+    def __init__(self, world: ControlWorld, name: str, address: Address, zone: str) -> None:
+        super().__init__(world, name, address, zone)
+        version, entries = world.kept.get(name, (0, {}))
+        self.fresh = version == 0
+        self.taken, self.turns_down = 0, 0  # turns_down: this version cannot be taken here, whatever the check says
+        self.began = world.clock.seconds
+        machines = preferred(world.machines, name, zone, self.region)
+        self.core = world.parts.agent(machines, check, world.random.randrange(1 << 30), self.now(), version, entries)
+        self.carry_out(self.core.take_effects())
+
+    def effect(self, effect: Any) -> None:
+        if isinstance(effect, Take):
+            if effect.version == self.turns_down:
+                self.post(Turned(effect.version, "this relay cannot"))
+                return
+            self.world.checker.took_down(self.name, effect.version, effect.entries, not self.fresh)
+            self.fresh = False
+            self.taken = effect.version
+            self.world.taken(self)
+        elif isinstance(effect, Keep):
+            if not self.world.parts.unkept and self.taken == effect.version:
+                self.world.kept[self.name] = effect.version, dict(effect.entries)
+        else:
+            super().effect(effect)
+
+
+class ControllerHost(Host):
+    core: Controller
+
+    def __init__(self, world: ControlWorld, name: str, address: Address, zone: str) -> None:
+        super().__init__(world, name, address, zone)
+        machine = next(m for m in world.machines if m.name == name)
+        kept = world.files.get(name)
+        if kept is None and machine.voter:
+            kept = Kept(FIRST if world.parts.lies else f"{name} {world.random.getrandbits(60):x}", NONE, NONE,
+                        world.first)  # fmt: skip
+            world.files[name] = kept
+        self.voter = world.parts.voter(kept, self._store, self.now) if kept is not None else None
+        self.core = world.parts.controller(
+            machine, world.machines, world.first, kept.identity if kept is not None else "",
+            kept.state if kept is not None else world.first, self.life, check, world.random.randrange(1 << 30),
+            self.now(), world.parts.proposer)  # fmt: skip
+        self.disk_free = 0.0
+        self.carry_out(self.core.take_effects())
+
+    def _store(self, kept: Kept[ControlState]) -> None:
+        if self.name in self.world.full_disks:
+            raise OSError("no space left on the device")
+        if not self.world.parts.forgets:
+            self.world.files[self.name] = kept
+
+    def effect(self, effect: Any) -> None:
+        if isinstance(effect, Vote):
+            # One at a time, on a thread of its own.
+            clock = self.world.clock
+            self.disk_free = max(self.disk_free, clock.now()) + self.world.random.uniform(*DISK_MS)
+            clock.after(self.disk_free - clock.now(), self._vote, effect)
+        elif isinstance(effect, Took):
+            self.world.took(self, effect.state)
+        elif isinstance(effect, Answer):
+            self.world.answered(self, effect)
+        else:
+            super().effect(effect)
+
+    def _vote(self, vote: Vote) -> None:
+        if not self.alive or self.voter is None:
+            return
+        left = self.stalled_until - self.world.clock.now()
+        if left > 0.0:
+            self.world.clock.after(left, self._vote, vote)
+            return
+        try:
+            answer = self.voter.told(vote.message)
+        except OSError as error:
+            self.log.append((self.world.clock.seconds, f"the voter's file cannot be written: {error}"))
+            return
+        self.world.stepped(self, answer)
+        if self.alive:
+            self.send(vote.sender.address, answer)
+
+
+class ControlWorld:
+    """relays: so many, spread over the zones evenly. measures: processor time of each process."""
+
+    def __init__(self, relays: int, seed: int, controllers: int = 11, voters: int = 5,
+                 parts: ControlParts | None = None, measures: bool = False) -> None:  # fmt: skip
+        self.clock, self.seed, self.parts, self.measures = VirtualClock(), seed, parts or ControlParts(), measures
+        self.random, self.wires = Random(f"control {seed}"), Random(f"control wires {seed}")
+        self.machines = controllers_of(controllers, voters)
+        self.first = self.parts.state({m.name: FIRST for m in self.machines if m.voter})
+        self.files: dict[str, Kept[ControlState]] = {
+            m.name: Kept(FIRST, NONE, NONE, self.first) for m in self.machines if m.voter}  # fmt: skip
+        self.kept: dict[str, tuple[int, Entries]] = {}
+        self.lives: Counter[str] = Counter()
+        self.clock_back: set[str] = set()  # whose next life is lower than the one before
+        self.full_disks: set[str] = set()
+        self.checker = ControlChecker()
+        self.hosts: dict[str, Host] = {}
+        self.at: dict[Address, Host] = {}
+        self.places = {m.name: (m.address, m.zone) for m in self.machines} | {
+            f"r{n:04d}": ((f"10.{n >> 8}.{n & 255}.1", PORT), ZONES[n % len(ZONES)])
+            for n in range(relays)}  # fmt: skip
+        self.ways = Ways(seed)
+        self.loss = 0.0
+        self.cut = False  # between the regions
+        self.changes: dict[tuple[str, int], Change] = {}
+        self.open: dict[int, Change] = {}  # agreed on, not in force yet, by version
+        self.tickets = 0
+        self.known_s: dict[str, float] = {}  # relay -> after how long its newest life had the newest version
+        self.steps: Counter[str] = Counter()
+        self.dies_at: tuple[str, int] = ("", 0)  # a controller dies at its n-th message of this kind
+        self.died = ""
+
+    # --- processes ------------------------------------------------------------------------------
+
+    def life(self, name: str) -> int:
+        self.lives[name] += 1
+        if name in self.clock_back:
+            self.clock_back.discard(name)
+            return 500 + self.lives[name]
+        return 1000 * self.lives[name]
+
+    def start(self, name: str) -> Host:
+        """A process starts; one that was there must have ended."""
+        address, zone = self.places[name]
+        host = (ControllerHost if name[0] == "c" else RelayHost)(self, name, address, zone)
+        self.hosts[name] = self.at[address] = host
+        return host
+
+    def start_all(self) -> None:
+        for name in self.places:
+            self.start(name)
+
+    def kill(self, name: str) -> None:
+        self.hosts[name].alive = False
+        for version, change in list(self.open.items()):
+            change.missing.discard(name)
+            self._in_force(version, change)
+
+    def stall(self, name: str, for_ms: float) -> None:
+        host = self.hosts[name]
+        host.stalled_until = max(host.stalled_until, self.clock.now() + for_ms)
+
+    @property
+    def relays(self) -> list[RelayHost]:
+        """That are alive."""
+        return [h for h in self.hosts.values() if isinstance(h, RelayHost) and h.alive]
+
+    @property
+    def controllers(self) -> list[ControllerHost]:
+        return [h for h in self.hosts.values() if isinstance(h, ControllerHost) and h.alive]
+
+    # --- the network ----------------------------------------------------------------------------
+
+    def send(self, source: Host, to: Address, data: bytes) -> None:
+        target = self.at.get(to)
+        if target is None or self.cut and source.region != target.region:
+            return
+        if self.loss and self.wires.random() < self.loss:
+            return
+        far = 0 if source.zone == target.zone else 1 if source.region == target.region else 2
+        late = self.wires.uniform(*LATENCY[far])
+        if not self.ways.active:
+            self.clock.after(late, self._arrive, to, data, source.address)
+            return
+        for more, copy in self.ways.fate(source.name, target.name, data):
+            self.clock.after(late + more, self._arrive, to, copy, source.address)
+
+    def _arrive(self, to: Address, data: bytes, source: Address) -> None:
+        self.at[to].came(data, source)
+
+    def stepped(self, host: Host, message: object) -> None:
+        """A message goes out, or a vote was written: a controller may die right here."""
+        kind, left = self.dies_at
+        if kind and host.name[0] == "c" and type(message).__name__ == kind:
+            self.dies_at = (kind, left - 1)
+            if left <= 1:
+                self.dies_at = ("", 0)
+                self.died = host.name
+                self.kill(host.name)
+
+    # --- what happens ---------------------------------------------------------------------------
+
+    def order(self, controller: str, step: Step) -> Change:
+        """An operator's change, at this controller."""
+        self.tickets += 1
+        change = Change(step, self.clock.seconds)
+        self.changes[controller, self.tickets] = change
+        self.hosts[controller].post(Ordered(self.tickets, step))
+        return change
+
+    def took(self, host: ControllerHost, state: ControlState) -> None:
+        self.checker.took(host.name, state)
+        for done in state.done:
+            for change in self.changes.values() if done.step else ():
+                if change.agreed_s < 0.0 and change.step is done.step or (
+                        change.agreed_s < 0.0 and dict(change.step) == dict(done.step)):  # fmt: skip
+                    change.agreed_s, change.version = self.clock.seconds, done.version
+                    change.missing = {r.name for r in self.relays if r.taken < done.version}
+                    self.open[done.version] = change
+                    self._in_force(done.version, change)
+
+    def taken(self, host: RelayHost) -> None:
+        for version, change in list(self.open.items()):
+            if version <= host.taken:
+                change.missing.discard(host.name)
+                self._in_force(version, change)
+        newest = max(self.checker.contents)
+        if host.taken >= newest and host.name not in self.known_s:
+            self.known_s[host.name] = self.clock.seconds - host.began
+
+    def _in_force(self, version: int, change: Change) -> None:
+        if not change.missing:
+            change.in_force_s = self.clock.seconds
+            del self.open[version]
+
+    def answered(self, host: ControllerHost, answer: Answer) -> None:
+        change = self.changes[host.name, answer.ticket]
+        change.answered, change.answered_s = answer.why, self.clock.seconds
+        self.checker.answered(change, answer.version, answer.why)
+
+    def run(self, for_s: float) -> None:
+        self.clock.run_until(self.clock.now() + 1000.0 * for_s)
+
+    def until(self, true: Callable[[], bool], within_s: float) -> float:
+        """After how many seconds it is true; below 0: not in time."""
+        began = self.clock.seconds
+        while not true():
+            if self.clock.seconds >= began + within_s:
+                return -1.0
+            self.run(0.05)
+        return self.clock.seconds - began
+
+    def newest(self) -> int:
+        return max(self.checker.contents)
+
+    def all_have(self) -> bool:
+        """All living relays serve by the newest."""
+        newest = self.newest()
+        return all(relay.taken >= newest for relay in self.relays)
+
+
