Let a relay's own clock say at which controller it is

Cause: a relay that moved stood at the controller it had left for a minute where its word was lost (Moved was passed over within a second of the last beat). Ruled out: longer times. Change: Moved carries the relay's life and clock, the later word counts.

--- a/yarrowspindle/control/codec.py
+++ b/yarrowspindle/control/codec.py
@@ -1,10 +1,11 @@
-"""Messages of control as bytes, and what a voter's file holds: MessagePack by msgspec, pressed, bounded, checked."""
+"""Messages of control as bytes, and what is kept in files: MessagePack by msgspec, pressed, bounded, checked."""
 
 from __future__ import annotations
 
 from yarrowspindle.control.messages import (
     Beat,
     Difference,
+    Keep,
     Later,
     Learn,
     Leave,
@@ -33,8 +34,14 @@
         raise BadMessage("a state out of bounds")
 
 
+def _kept_within(kept: Keep) -> None:
+    if not 0 < kept.version < 1 << 53 or bounds(kept.entries):
+        raise BadMessage("entries out of bounds")
+
+
 KINDS = (Beat, Newest, Difference, Whole, Leave, Moved, Later, Sum, Learn, Order, Prepare, Promise[ControlState],
          Accept[ControlState], Accepted, Refused[ControlState])  # fmt: skip
 MESSAGES = Kinds(VERSION, KINDS, within)
-FILE: FileCodec[ControlState] = FileCodec(VERSION, Kept[ControlState], within)
+FILE: FileCodec[Kept[ControlState]] = FileCodec(VERSION, Kept[ControlState], lambda kept: within(kept.state))
+TAKEN: FileCodec[Keep] = FileCodec(VERSION, Keep, _kept_within)  # by a relay
 encode, decode = MESSAGES.encode, MESSAGES.decode
--- a/yarrowspindle/control/controller.py
+++ b/yarrowspindle/control/controller.py
@@ -198,7 +198,7 @@
             relay.told, relay.since = (known.told, known.since) if known.known == beat.known else (-1e9, known.since)
         self.relays[sender.address] = relay
         if beat.before in self.others:
-            self._send(beat.before, Moved(sender.name, *sender.address))
+            self._send(beat.before, Moved(*sender.address, sender.life, sender.at))
         if beat.known > version and self.now > max(self.took_at, self.started) + AHEAD_MS:
             self.counts["ahead"] += 1
             self.effects.append(Note(f"relay {sender.name} has version {beat.known}, newer than what is agreed on here "
@@ -234,7 +234,8 @@
 
     def _moved(self, sender: Sender, moved: Moved) -> None:
         known = self.relays.get((moved.host, moved.port))
-        if sender.name in self.others and known is not None and self.now > known.heard + LIVE_MS / 2.0:
+        if (sender.name in self.others and known is not None
+                and (moved.life, moved.at) > (known.sender.life, known.sender.at)):  # fmt: skip
             del self.relays[moved.host, moved.port]
 
     def _mark(self, relay: Attached) -> None:
--- a/yarrowspindle/control/messages.py
+++ b/yarrowspindle/control/messages.py
@@ -70,11 +70,12 @@
 
 
 class Moved(Struct, array_like=True, frozen=True):
-    """Between controllers: this relay talks with the sender now."""
+    """Between controllers: this relay talks with the sender now, since `at` of its own clock in this life."""
 
-    name: Name
     host: str
     port: int
+    life: Number
+    at: Number
 
 
 class Later(Struct, array_like=True, frozen=True):
--- a/yarrowspindle/lab/processes/turning.py
+++ b/yarrowspindle/lab/processes/turning.py
@@ -19,7 +19,7 @@
 from yarrowspindle.lab.faults import Fault, relay_names, schedule
 from yarrowspindle.lab.processes.proxy import Pipe
 from yarrowspindle.lab.processes.world import Relay, Report, Run, World, finish, opened
-from yarrowspindle.program.turn_file import NoFile
+from yarrowspindle.program.kept_file import NoFile
 from yarrowspindle.turns.state import QUEUED
 
 POLL_S = 0.25
