--- a/yarrowspindle/control/agent.py
+++ b/yarrowspindle/control/agent.py
@@ -82,6 +82,7 @@
         elif isinstance(event, Turned) and event.version == self.taken:
             self.taken, self.served = self.previous
             self._refused(event.why)
+            self._again()
         return self.take_effects()
 
     def take_effects(self) -> list[Effect]:
--- a/yarrowspindle/control/controller.py
+++ b/yarrowspindle/control/controller.py
@@ -65,7 +65,7 @@
 SILENT_MS = 1000.0  # a controller that was not heard for so long is passed over
 LIVE_MS = 2000.0  # a relay that was not heard for so long is silent
 FORGET_MS = 60_000.0  # and after so long it is no longer named
-PUSH_MS = 200.0  # who has not confirmed is told again this often
+PUSH_MS = 200.0  # a relay is told of changes this often at most, and again where it has not confirmed
 ORDER_MS, OWN_MS, EXPIRE_MS = 250.0, 1000.0, 10_000.0  # an order is said again; proposed by its taker; given up
 ROUND_MS, READ_MS, BACK_MOST_MS = 500.0, 10_000.0, 800.0
 AHEAD_MS = 5000.0  # a relay that knows more for so long did not just hear it elsewhere
@@ -195,7 +195,7 @@
             return  # overtaken on its way
         relay = Attached(sender, beat.known, beat.taken, beat.why, self.now, whole=beat.whole)
         if known is not None:
-            relay.told, relay.since = (known.told, known.since) if known.known == beat.known else (-1e9, known.since)
+            relay.told, relay.since = known.told, known.since
         self.relays[sender.address] = relay
         if beat.before in self.others:
             self._send(beat.before, Moved(*sender.address, sender.life, sender.at))
@@ -206,7 +206,7 @@
         self._mark(relay)
         if beat.known < version and (beat.whole or self.now >= relay.told + PUSH_MS):
             self._push([relay])
-        else:
+        elif known is None or beat.known <= known.known:  # what says that a version came needs no answer
             self.effects.append(Send(sender, Newest(version, self.digest)))
 
     def _room(self) -> bool:
@@ -309,16 +309,18 @@
         self.effects.append(Took(state))
         for relay in self.relays.values():
             self._mark(relay)
-        self._push(self._behind())
+        self._push(self._due())
         life, _ = state.takers.get(self.me.name, (0, 0))
         if life > self.life:
             self._renumber(life + 1)  # an earlier process of this controller had a clock that was ahead
         self._settle()
 
-    def _behind(self) -> list[Attached]:
-        """Living relays that have not got the newest."""
+    def _due(self) -> list[Attached]:
+        """Living relays that have not got the newest, and were told nothing in the last moment: many changes in one
+        second go down together."""
         version = self.taken.version
-        return [r for r in self.relays.values() if r.known < version and self.now <= r.heard + LIVE_MS]
+        return [r for r in self.relays.values()
+                if r.known < version and self.now >= r.told + PUSH_MS and self.now <= r.heard + LIVE_MS]  # fmt: skip
 
     # --- agreeing -------------------------------------------------------------------------------
 
@@ -449,7 +451,7 @@
     def _tick(self) -> None:
         self._hand_on()
         self._propose()
-        self._push([r for r in self._behind() if self.now >= r.told + PUSH_MS])
+        self._push(self._due())
         if self.now >= self.sum_at:
             self.sum_at = self.now + SUM_MS
             for address in [a for a, r in self.relays.items() if self.now > r.heard + FORGET_MS]:
