--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -8,13 +8,13 @@
 import os
 import resource
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
+from tests.ports import free_port
 from yarrowspindle.lab.processes.world import SETTINGS as LAB
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -57,8 +57,8 @@
         self.stats: str | None = None  # None: it says nothing to a probe
 
     async def open(self) -> Server:
-        self.server = await asyncio.start_server(self._take, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = free_port()
+        self.server = await asyncio.start_server(self._take, "127.0.0.1", self.port)
         return self
 
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -166,14 +166,9 @@
         return line
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @asynccontextmanager
-async def relay(tmp: Path, operator: str = "", sockets: int = 0, **changes: Any) -> AsyncIterator[World]:
+async def relay(tmp: Path, operator: str = "", sockets: int = 0, seed: str = "8c1f30d27a5be964",
+                **changes: Any) -> AsyncIterator[World]:
     """The real program, serving; it is told of both nodes in its cached list."""
     world = World()
     for server in (*world.nodes.values(), world.list):
@@ -181,7 +176,7 @@
     world.port = free_port()
     known = {"revision": 1, "complete": True, "members": [world.member(n) for n in world.nodes]}
     config = {"name": "n0", "listen": f"127.0.0.1:{world.port}", "discovery": f"127.0.0.1:{world.list.port}",
-              "seed": "8c1f30d27a5be964", "settings": SETTINGS | changes, "known": known,
+              "seed": seed, "settings": SETTINGS | changes, "known": known,
               "limits": {"sockets": sockets}}  # fmt: skip
     world.file = tmp / "config.json"
     world.file.write_text(json.dumps(config))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from tests.ports import free_port
 from tests.stand_ins import HEAD, SETTINGS, WAIT_S, Peer, Server, World, run
 
 CHAT = dict(SETTINGS["categories"][0])
@@ -35,9 +36,9 @@
 
     async def open(self) -> Held:
         self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
+        self.port = free_port()
+        self.sock.bind(("127.0.0.1", self.port))
         self.sock.listen(0)
-        self.port = self.sock.getsockname()[1]
         self.filler = socket.create_connection(("127.0.0.1", self.port))
         return self
 
@@ -72,6 +73,13 @@
     return node
 
 
+async def stopping(w: World) -> None:
+    """Asked to stop, and about it: the line is logged a little before."""
+    w.stop()
+    await w.logged("asked to stop")
+    assert await (await w.submitter("PING")).hear() == "NO"
+
+
 # --- the end of the relay -------------------------------------------------------------------------
 
 
@@ -97,8 +105,7 @@
 
     async def body(w: World) -> None:
         resting = await w.submitter()
-        w.stop()
-        await w.logged("asked to stop")
+        await stopping(w)
         w.process.send_signal(signal.SIGSTOP)
         resting.say("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=chat,t=acme,d=800")
         late = [await w.job(wait_ms=800) for _ in range(20)]
@@ -139,8 +146,7 @@
         submitter, _, node = await w.standing()
         node.writer.write(b"half a l")
         assert await submitter.reader.readexactly(8) == b"half a l"
-        w.stop()
-        await w.logged("asked to stop")
+        await stopping(w)
         w.process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(1.3)  # all that was to be done before the end is due at once
         w.process.send_signal(signal.SIGCONT)
@@ -327,6 +333,31 @@
     run(tmp_path, body)
 
 
+@pytest.mark.parametrize("seed", ["2", "16"])  # whose first draws come late
+def test_a_drain_while_the_relay_was_away_is_known_before_it_counts_as_told(tmp_path: Path, seed: str) -> None:
+    """It counts as told 6 s after discovery had it, also by a process that has started since: with a fleet of 182 the
+    first call was made up to 4.8 s after the start. Drained 4 s before the start, and the grace is 0.4 s."""
+
+    async def body(w: World) -> None:
+        start, sent = time.monotonic(), []
+
+        async def discovery() -> None:
+            await w.watched()
+            w.answer_watch(w.member("s-1", "draining"), w.member("s-2"))
+
+        asked = asyncio.ensure_future(discovery())
+        while time.monotonic() - start < 3.4:
+            submitter, name, _ = await w.standing()
+            sent.append((time.monotonic() - start, name))
+            submitter.writer.close()
+            await asyncio.sleep(0.05)
+        await asked
+        assert all(at < 6.0 - 4.0 + 0.4 for at, name in sent if name == "s-1")
+
+    obligations = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
+    run(tmp_path, body, seed=seed, balancers=182, obligations=obligations)
+
+
 def test_a_list_that_comes_indented_and_in_two_parts_is_taken(tmp_path: Path) -> None:
     async def body(w: World) -> None:
         await w.watched()
