Keep at a controller what is agreed on, and bound steps, causes and names of classes

Cause: a controller that started again without a majority said version 0, so what stood was not told, and relays were said to be ahead; keys that a step removes and the cause of a refusal had no bound; class numbers are used again since, so the names that the figures tell apart had none. Ruled out: telling the voter's file, whose state may never have been committed. Change: the newest committed state in a file of its own (AGREED), by the same loop as a relay's; a voter that lost its file makes one at the start; bounds_of a step; 256 names of classes, later ones under other. tests/ports.py is part of running tests side by side.

--- a/tests/test_control_daemon.py
+++ b/tests/test_control_daemon.py
@@ -18,6 +18,7 @@
 import pytest
 from loguru import logger
 
+from tests.ports import own_net
 from tests.stand_ins import ROOT, SETTINGS, WAIT_S, World, relay
 from yarrowspindle.control.codec import TAKEN
 from yarrowspindle.control.controller import Controller as CoreController
@@ -46,7 +47,7 @@
 def address() -> Address:
     """On a net of loopback of this process's own, so that runs side by side do not meet; each one once."""
     number = next(addresses)
-    return f"127.{64 + os.getpid() % 128}.{1 + number // 250 % 250}.{1 + number % 250}", 7946
+    return f"{own_net()}.{1 + number // 250 % 250}.{1 + number % 250}", 7946
 
 
 def text(of: Address) -> str:
@@ -238,14 +239,13 @@
             assert (await world.show(0, capsys))["version"] == 2
 
             # One controller less, whichever: the next change is in force within 3 s.
-            env = world.controllers[0].env(world.machines, world.name)
             await world.controllers[0].end()
             began = time.monotonic()
             assert await world.say(1, "set", chat(1900.0)) == 0
             await served(found, 3)
             assert time.monotonic() < began + 3.0
             assert await believes(found[4], LONG_MS)
-            await world.controllers[0].start(env)
+            await world.controllers[0].start(env_of(world, 0))
             world.controllers[1].process.send_signal(signal.SIGSTOP)
             began = time.monotonic()
             assert await world.say(2, "set", chat(900.0)) == 0
@@ -271,9 +271,18 @@
             started = await stack.enter_async_context(relay(again, (tmp_path / "relay2/operator.toml").read_text()))
             assert not await believes(started, LONG_MS) and await believes(started, 1000)
 
+            # One controller that starts alone, without a majority, still tells what stands.
+            await world.controllers[2].start(env_of(world, 2))
+            shown = await world.show(2, capsys)
+            assert shown["version"] == 4 and shown["entries"]["categories"] == chat(900.0).partition("=")[2]
+
     asyncio.run(body())
 
 
+def env_of(world: Cluster, number: int) -> dict[str, str]:
+    return world.controllers[number].env(world.machines, world.name)
+
+
 async def shown_table(world: Cluster, capsys: pytest.CaptureFixture[str]) -> str:
     capsys.readouterr()
     assert await world.say(2, "show") == 0
@@ -354,9 +363,10 @@
             await last.end()
             file = last.directory / "voter"
             file.write_bytes(file.read_bytes()[:50])
-            await last.start(last.env(world.machines, world.name))
-            assert any("it is cut off" in line for line in last.said)
-            await last.logged("has its voter's file, promised 0")
+            before = len(last.said)
+            await last.start(env_of(world, 2))
+            assert any("it is cut off" in line for line in last.said[before:])
+            assert any("has its voter's file, promised 0" in line for line in last.said[before:])
             assert (last.directory / "voter.bad").exists()
             await world.controllers[0].logged("version 2 is agreed on: voters")
             await world.controllers[0].end()  # what is left is a majority again
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,14 +6,19 @@
 import json
 import os
 import signal
-import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from tests.stand_ins import SETTINGS, WAIT_S, World, free_port, relay
+from tests.ports import free_port
+from tests.stand_ins import SETTINGS, WAIT_S, World, relay
+from yarrowspindle.interface import RequestClass, Settings
 from yarrowspindle.program.config import read_config, retune
+from yarrowspindle.routing.messages import JobArrived, SubmitterLeft
+from yarrowspindle.routing.reducer import Reducer
+from yarrowspindle.telemetry import Telemetry
+from yarrowspindle.telemetry.counts import CLASSES_MOST
 from yarrowspindle.transport.listener import Listener
 
 
@@ -29,9 +34,7 @@
 
 def test_a_second_process_of_the_relay_can_listen_at_the_same_address() -> None:
     async def inside() -> None:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         first = Listener(("127.0.0.1", port), 16, asyncio.Protocol, lambda: True, print)
         second = Listener(("127.0.0.1", port), 16, asyncio.Protocol, lambda: True, print)
         assert first.sock.getsockname() == second.sock.getsockname()
@@ -182,3 +185,14 @@
         assert figures["success.chat"] == 1 and figures["success.video"] == 1 and figures["failure.chat"] == 0
 
     run(tmp_path, body)
+
+
+def test_names_of_classes_are_told_apart_up_to_a_bound_in_a_process_that_lives_long() -> None:
+    """Settings change thousands of times a day, and each may name another class."""
+    reducer = Reducer(Settings(classes=(RequestClass(aim_ms=800.0, deadline_ms=4800.0),)), 1, 0.0)
+    telemetry = Telemetry(reducer, lambda cls: f"class{cls}")
+    for job in range(1000):
+        telemetry.event(JobArrived(job, 4800.0, job))
+        telemetry.event(SubmitterLeft(job))
+    assert telemetry.counts["taken.class255"] == 1 and telemetry.counts["taken.other"] == 1000 - CLASSES_MOST
+    assert len(telemetry.counts) == 2 * (CLASSES_MOST + 1) and not telemetry.waiting
--- a/yarrowspindle/control/codec.py
+++ b/yarrowspindle/control/codec.py
@@ -45,4 +45,5 @@
 MESSAGES = Kinds(VERSION, KINDS, within)
 FILE: FileCodec[Kept[ControlState]] = FileCodec(VERSION, Kept[ControlState], lambda kept: within(kept.state))
 TAKEN: FileCodec[Keep] = FileCodec(VERSION, Keep, _kept_within)  # by a relay
+AGREED: FileCodec[ControlState] = FileCodec(VERSION, ControlState, within)  # what a controller knows is committed
 encode, decode = MESSAGES.encode, MESSAGES.decode
--- a/yarrowspindle/control/controller.py
+++ b/yarrowspindle/control/controller.py
@@ -54,6 +54,7 @@
     Order,
     Step,
     bounds,
+    bounds_of,
     size,
     stepped,
 )
@@ -130,7 +131,8 @@
 
 
 class Controller:
-    """identity: of this voter's file; empty: it does not vote. guide: the state of its file."""
+    """first: the newest state that this machine knows to be agreed on, that of all where it knows none. identity: of
+    this voter's file; empty: it does not vote. guide: the state of its file."""
 
     def __init__(self, machine: Machine, machines: tuple[Machine, ...], first: ControlState, identity: str,
                  guide: ControlState, life: int, check: Check, seed: int, now: float,
@@ -147,7 +149,8 @@
         self.pending: list[Pending] = []
         self.relays: dict[Address, Attached] = {}
         self.clashes: dict[str, float] = {}  # names that two relays have, and when that was said
-        self.log: dict[int, Step] = {}  # version -> its step, without a gap up to the newest
+        # Version -> its step, without a gap up to the newest.
+        self.log: dict[int, Step] = {done.version: done.step for done in first.done}
         self.taken = first
         self.digest = first.digest
         self.took_at = now
@@ -413,8 +416,8 @@
     # --- orders ---------------------------------------------------------------------------------
 
     def _ordered(self, event: Ordered) -> None:
-        why = bounds({k: v for k, v in event.step.items() if v is not None})
-        why = why or self.check(stepped(self.taken.entries, event.step))
+        entries = stepped(self.taken.entries, event.step)
+        why = bounds_of(event.step) or bounds(entries) or self.check(entries)
         if not why and len(self.pending) >= ORDERS_MOST:
             why = f"{ORDERS_MOST} changes wait already"
         if why:
--- a/yarrowspindle/control/state.py
+++ b/yarrowspindle/control/state.py
@@ -16,7 +16,7 @@
 
 KEY_MOST, VALUE_MOST, ENTRIES_MOST, CONTENT_MOST = 64, 16_384, 128, 65_536  # characters; entries; characters in all
 DONE_MOST, STEPS_MOST = 64, 32_768  # newest steps kept in the state, and their characters
-NAME_MOST = 64
+NAME_MOST, WHY_MOST = 64, 400
 
 
 class ControlError(ValueError):
@@ -38,6 +38,11 @@
     return ""
 
 
+def bounds_of(step: Step) -> str:
+    """The same for a step, and the keys that it removes."""
+    return bounds({key: value or "" for key, value in step.items()})
+
+
 def digest(version: int, entries: Entries) -> bytes:
     """Of 8 bytes: equal where version and content are."""
     text = repr((version, sorted(entries.items())))
@@ -101,7 +106,7 @@
         if (order.life, order.number) != (life, number + 1) and not (order.life > life and order.number == 1):
             return None
         entries = stepped(self.entries, order.step)
-        why = bounds(entries) or check(entries)
+        why = (bounds_of(order.step) or bounds(entries) or check(entries))[:WHY_MOST]
         done = Done(self.version + 1, {} if why else order.step, why, order.taker, order.life, order.number)
         takers = dict(self.takers) | {order.taker: (order.life, order.number)}
         return replace(self._with(done), entries=self.entries if why else entries, takers=takers)
--- a/yarrowspindle/program/control.py
+++ b/yarrowspindle/program/control.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from loguru import logger
 
@@ -18,6 +19,7 @@
 from yarrowspindle.control.link import Link
 from yarrowspindle.control.messages import Came, Effect, Event, Keep, Note, Send, Take, Turned, Wake, Woke
 from yarrowspindle.control.settings import ControlSettings, preferred
+from yarrowspindle.control.state import ControlState
 from yarrowspindle.peers.codec import Dropped
 from yarrowspindle.program.config import ConfigError
 from yarrowspindle.program.control_settings import WHY_MOST, check
@@ -57,6 +59,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.disk = ThreadPoolExecutor(1, "control")  # the disk must not make jobs or beats late
         self.closed = False
+        self.unkept: Keep | ControlState | None = None  # what is to be kept and is not yet
+        self.keeping = asyncio.Event()
 
     def open(self) -> None:
         self.tasks += [self.loop.create_task(self._open()), self.loop.create_task(self._due())]
@@ -158,6 +162,40 @@
             self.said.add(text)
             self.bounded.warn(f"control: {text}")
 
+    # --- what is found again after a restart ------------------------------------------------------
+
+    def keep(self, what: Keep | ControlState) -> None:
+        self.unkept = what
+        self.keeping.set()
+
+    async def _keep(self, file: KeptFile[Any]) -> None:
+        """Until a disk that fails is well again what was kept before stands, and the newest is kept after that. A
+        process that is about to end has the lock, and keeps what it takes itself."""
+        said = ""
+        while True:
+            await self.keeping.wait()
+            keep = self.unkept
+            if keep is None:
+                self.keeping.clear()
+                continue
+            why = file.unlocked()
+            if not why:
+                try:
+                    await self.loop.run_in_executor(self.disk, file.store, keep)
+                except OSError as error:
+                    why = str(error)
+            if not why:
+                self.unkept = None if self.unkept is keep else self.unkept
+                if said:
+                    logger.info("control: version {} is kept in {}", keep.version, file.path)
+            else:
+                self.counts["unkept"] += 1
+                if why != said:
+                    logger.warning("control: version {} is served, but cannot be kept yet for a restart: {}",
+                                   keep.version, why)  # fmt: skip
+                await asyncio.sleep(AGAIN_S)
+            said = why
+
     # --- figures --------------------------------------------------------------------------------
 
     def counters(self) -> Counter[str]:
@@ -173,8 +211,6 @@
         super().__init__(settings, settings.name or hub.config.name)
         self.hub = hub
         self.file: KeptFile[Keep] | None = None
-        self.unkept: Keep | None = None  # what is to be kept and is not yet
-        self.keeping = asyncio.Event()
         version, entries = 0, {}
         if settings.directory:
             self.file = KeptFile(settings.directory, self.name, settings.cluster, KEPT, TAKEN)
@@ -210,8 +246,7 @@
 
     def _effect(self, effect: Effect) -> None:
         if isinstance(effect, Keep):
-            self.unkept = effect
-            self.keeping.set()
+            self.keep(effect)
 
     def _take(self, take: Take) -> str:
         """Why the relay serves on by what it had; empty: it serves by this version."""
@@ -226,34 +261,6 @@
                     else ": there are no shared settings, the file's are served by")  # fmt: skip
         return ""
 
-    async def _keep(self, file: KeptFile[Keep]) -> None:
-        """Until a disk that fails is well again what was kept before stands, and the newest is kept after that. A
-        process that is about to end has the lock, and keeps what it takes itself."""
-        said = ""
-        while True:
-            await self.keeping.wait()
-            keep = self.unkept
-            if keep is None:
-                self.keeping.clear()
-                continue
-            why = file.unlocked()
-            if not why:
-                try:
-                    await self.loop.run_in_executor(self.disk, file.store, keep)
-                except OSError as error:
-                    why = str(error)
-            if not why:
-                self.unkept = None if self.unkept is keep else self.unkept
-                if said:
-                    logger.info("control: version {} is kept in {}", keep.version, file.path)
-            else:
-                self.counts["unkept"] += 1
-                if why != said:
-                    logger.warning("control: version {} is served, but cannot be kept yet for a restart: {}",
-                                   keep.version, why)  # fmt: skip
-                await asyncio.sleep(AGAIN_S)
-            said = why
-
     def gauges(self) -> dict[str, float]:
         core = self.core
         return {"control.version": float(core.taken), "control.known": float(core.known),
--- a/yarrowspindle/program/controller.py
+++ b/yarrowspindle/program/controller.py
@@ -22,11 +22,12 @@
 from yarrowspindle.program.config import ConfigError, Operator
 from yarrowspindle.program.control import Endpoint, some_number
 from yarrowspindle.program.control_settings import check
-from yarrowspindle.program.kept_file import FIRST, NoFile, VoterFile
+from yarrowspindle.program.kept_file import FIRST, KeptFile, NoFile, VoterFile
 from yarrowspindle.program.metrics import report
 from yarrowspindle.turns.register import Kept, Voter
 
 LOCK_S = 0.2
+AGREED = "agreed"
 VOTES_MOST = 256  # that wait for the disk; more are lost, as any message may be
 ANSWERS_MOST = 1024
 STEPS_SAID = 8  # newest versions that the log names where many were missed
@@ -55,6 +56,15 @@
         self.answers: OrderedDict[int, Answer | None] = OrderedDict()  # None: not settled yet
         self.ticket = some_number()
         self.api: OperatorApi | None = None
+        self.agreed = KeptFile(settings.directory, self.name, settings.cluster, AGREED, codec.AGREED)
+        self.agreed.lock = file.lock  # it is this process that has it
+        agreed = self.first
+        try:
+            agreed = self.agreed.load()
+        except NoFile as why:
+            if self.agreed.path.exists():
+                logger.warning("control: {} cannot be used: {}; what was agreed on is told once a majority of the "
+                               "voters was heard", self.agreed.path, why)  # fmt: skip
         kept = None
         try:
             kept = file.load()
@@ -64,12 +74,14 @@
                 logger.warning("control: no voter's file in {}: {}; this controller has no voice until the others have "
                                "taken it in (`control init` makes the first files of all, and is never used after a "
                                "loss)", settings.directory, why)  # fmt: skip
-        self.core = Controller(settings.me, settings.machines, self.first, kept.identity if kept else "",
+        self.core = Controller(settings.me, settings.machines, agreed, kept.identity if kept else "",
                                kept.state if kept else self.first, self.life, check, some_number(),
                                self._now())  # fmt: skip
 
     async def start(self) -> None:
         self.open()
+        self.tasks.append(self.loop.create_task(self._keep(self.agreed)))
+        self._take_voice(self.core.state)
         self.carry_out(self.core.take_effects())
         if self.settings.command is not None:
             routes = {"/control/change": {"PUT": self._call(self._change)},
@@ -132,6 +144,11 @@
                 what = f"refused: {done.why}" if done.why else ", ".join(sorted(done.step)) or "voters"
                 logger.info("control: version {} is agreed on: {}", done.version, what)
         self.said_version = state.version
+        self.keep(state)
+        self._take_voice(state)
+
+    def _take_voice(self, state: ControlState) -> None:
+        """A voter whose file was lost makes one that the others do not know yet."""
         if not self.core.identity and self.name in state.voters and state.version > 0:
             try:
                 kept = self.file.make_anew(self.first)
--- a/yarrowspindle/telemetry/counts.py
+++ b/yarrowspindle/telemetry/counts.py
@@ -18,6 +18,8 @@
 OUTCOMES = {Join: "success", Requeue: "busy", Deny: "failure"}
 FIGURES = ("success", "busy", "failure")
 
+CLASSES_MOST, OTHER = 256, "other"  # names of classes told apart in a process's life; later ones are counted together
+
 
 class Telemetry:
     def __init__(self, reducer: Reducer, class_name: Callable[[int], str]) -> None:
@@ -29,8 +31,11 @@
 
     def event(self, event: Event) -> None:
         if isinstance(event, JobArrived):
-            name = self.waiting[event.job] = self.class_name(event.cls)
-            self.classes[name] = None
+            name = self.class_name(event.cls)
+            if name not in self.classes:
+                name = name if len(self.classes) < CLASSES_MOST else OTHER
+                self.classes[name] = None
+            self.waiting[event.job] = name
             self.counts[f"taken.{name}"] += 1
         elif isinstance(event, SubmitterLeft):
             self._count("abandoned", event.job)
