--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,109 @@
+"""KNOWN-RED.txt: what it names may fail, and nothing else; asked of pytest itself, on a folder of its own."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.stand_ins import ROOT
+
+TESTS = """
+import pytest
+
+def test_good():
+    pass
+
+def test_bad():
+    assert False
+
+def test_other():
+    assert False
+
+def test_third():
+    assert False
+
+@pytest.mark.parametrize("n", [1, 2])
+def test_cases(n):
+    assert n == 1
+
+@pytest.fixture
+def breaks():
+    yield
+    raise OSError
+
+def test_breaks_after(breaks):
+    pass
+"""
+BAD, CASES = "tests/test_it.py::test_bad | a cause | #1", "tests/test_it.py::test_cases | a cause | #2"
+
+
+def run(tmp: Path, lines: list[str] | None, *wanted: str, side_by_side: bool = False) -> tuple[int, list[str]]:
+    (tmp / "tests").mkdir()
+    (tmp / "tests/test_it.py").write_text(TESTS)
+    (tmp / "pytest.ini").write_text("[pytest]\n")
+    if lines is not None:
+        (tmp / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
+    command = [sys.executable, "-B", "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "tools.known_red"]
+    command += ["-p", "xdist", "-n", "2"] if side_by_side else []
+    env = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST_")}
+    env |= {"PYTHONPATH": str(ROOT), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
+    done = subprocess.run([*command, *(f"tests/test_it.py::test_{name}" for name in wanted)], cwd=tmp,
+                          env=env, capture_output=True, text=True, check=False)  # fmt: skip
+    print(done.stdout, done.stderr)
+    return done.returncode, done.stdout.splitlines()
+
+
+@pytest.mark.parametrize("side_by_side", [False, True])
+def test_what_is_listed_fails_without_failing_the_run_and_is_printed(tmp_path: Path, side_by_side: bool) -> None:
+    code, said = run(tmp_path, [BAD, CASES, "tests/test_it.py::test_third | a cause | #3"],
+                     "good", "bad", "cases", "third", side_by_side=side_by_side)  # fmt: skip
+    assert code == 0 and said[-1].startswith("3 failed, 2 passed in ")
+    assert f"failed: {BAD}" in said and f"failed and passed: {CASES}" in said
+
+
+def test_what_is_listed_and_passes_is_printed_too(tmp_path: Path) -> None:
+    line = "tests/test_it.py::test_good | a cause | #1"
+    code, said = run(tmp_path, [line], "good")
+    assert code == 0 and f"passed: {line}" in said and said[-1].startswith("1 passed in ")
+
+
+@pytest.mark.parametrize(("lines", "wanted", "side_by_side"), [
+    (None, ["good", "bad"], False),
+    ([], ["good", "bad"], False),
+    ([BAD], ["good", "bad", "other"], False),
+    ([BAD], ["good", "bad", "other"], True),
+    ([BAD], ["bad", "breaks_after"], False),
+    (["tests/test_it.py::test_cases[1] | a cause | #1"], ["cases"], False),
+    (["tests/test_it.py::test_b | a cause | #1"], ["bad"], False),
+])  # fmt: skip
+def test_any_other_failure_fails_the_run(tmp_path: Path, lines: list[str] | None, wanted: list[str],
+                                         side_by_side: bool) -> None:  # fmt: skip
+    assert run(tmp_path, lines, *wanted, side_by_side=side_by_side)[0] == 1
+
+
+@pytest.mark.parametrize(("lines", "says"), [
+    ([BAD, "tests/test_it.py::test_gone | a cause | #2"], "WRONG: no such test was run: tests/test_it.py::test_gone"),
+    ([BAD, "tests/test_it.py::test_cases | #2"], "WRONG: not `test | cause | issue`, or twice: "
+                                                 "tests/test_it.py::test_cases | #2"),
+    ([BAD, BAD], f"WRONG: not `test | cause | issue`, or twice: {BAD}"),
+    ([BAD, CASES, "tests/test_it.py::test_good | c | #3", "tests/test_it.py::test_third | c | #4"],
+     "WRONG: 4 lines, 3 at most"),
+])  # fmt: skip
+def test_a_list_that_is_wrong_fails_the_run(tmp_path: Path, lines: list[str], says: str) -> None:
+    code, said = run(tmp_path, lines, "good", "bad", "cases", "third")
+    assert code == 1 and says in said
+    assert " passed in " in said[-1]
+
+
+def test_a_list_that_is_wrong_fails_a_run_in_which_all_passed(tmp_path: Path) -> None:
+    code, said = run(tmp_path, [BAD], "good")
+    assert code == 1 and said[-1].startswith("1 passed in ")
+
+
+def test_without_the_file_nothing_changes(tmp_path: Path) -> None:
+    code, said = run(tmp_path, None, "good")
+    assert code == 0 and not any("KNOWN-RED" in line for line in said)
--- a/tests/test_quic_front.py
+++ b/tests/test_quic_front.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 from typing import Any
 
+from tests.ports import free_port
 from tests.quic_stand_ins import ID_KEY, IDS, RESET_KEY, QuicClient, QuicNode
-from tests.stand_ins import free_port, relay
+from tests.stand_ins import relay
 from yarrowspindle.interface import ListKind, RequestClass, Settings, State
 from yarrowspindle.program.config import Config, QuicConfig
 from yarrowspindle.program.hub import Hub
--- a/tests/test_turns_daemon.py
+++ b/tests/test_turns_daemon.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from tests.stand_ins import SETTINGS, World, free_port, relay
+from tests.ports import free_port
+from tests.stand_ins import SETTINGS, World, relay
 from yarrowspindle.lab.faults import Fault
 from yarrowspindle.lab.processes.turning import TurnReport, Work, play_turns
 from yarrowspindle.lab.processes.world import Run
