--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,738 @@
+"""Control without sockets: state, agent, controller and link on bad input, days on the virtual clock with faults, and
+defects that must be found."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from yarrowspindle.control import codec
+from yarrowspindle.control.agent import AHEAD_MS, SILENT_MS, Agent
+from yarrowspindle.control.controller import EXPIRE_MS, LOG_MOST, ORDERS_MOST, RELAYS_MOST, SURE_MS, Controller
+from yarrowspindle.control.link import LIVES_MOST, SOURCE_PER_S, Link
+from yarrowspindle.control.messages import (
+    Answer,
+    Beat,
+    Came,
+    Difference,
+    Event,
+    Keep,
+    Later,
+    Learn,
+    Leave,
+    Moved,
+    Newest,
+    Note,
+    Ordered,
+    Send,
+    Sender,
+    Sum,
+    Take,
+    Took,
+    Turned,
+    Vote,
+    Whole,
+    Woke,
+)
+from yarrowspindle.control.settings import Machine
+from yarrowspindle.control.state import (
+    CONTENT_MOST,
+    DONE_MOST,
+    ENTRIES_MOST,
+    STEPS_MOST,
+    VALUE_MOST,
+    ControlState,
+    Done,
+    Entries,
+    Order,
+    Step,
+    bounds,
+    digest,
+    stepped,
+)
+from yarrowspindle.lab.faults import Fault
+from yarrowspindle.lab.model.controlling import check
+from yarrowspindle.lab.model.controlling_days import KINDS, play_control, seeds
+from yarrowspindle.lab.model.planted_control import DEFECTS
+from yarrowspindle.peers.codec import Dropped
+from yarrowspindle.turns.codec import BadMessage
+from yarrowspindle.turns.register import NONE, Accept, Kept, Prepare, Promise, Refused, Voter
+
+MACHINES = tuple(Machine(f"c{n:02d}", (f"10.0.0.{n + 1}", 7950), voter=n == 0) for n in range(3))
+FIRST = ControlState({"c00": "file"})
+RELAY = Sender("r0", ("10.0.1.1", 7950), 1, 1)
+
+
+def settled(state: ControlState | None) -> ControlState:
+    assert state is not None
+    return state
+
+
+def after(*steps: Step, state: ControlState = FIRST, taker: str = "c01", life: int = 1) -> ControlState:
+    """These orders of one taker, settled."""
+    before, number = state.takers.get(taker, (0, 0))
+    for n, step in enumerate(steps, number + 1 if before == life else 1):
+        state = settled(state.settled(Order(taker, life, n, step), check))
+    return state
+
+
+# --- the state ------------------------------------------------------------------------------------
+
+
+def test_an_order_is_settled_once_and_in_its_turn() -> None:
+    order, next_ = Order("c01", 5, 1, {"a": "1"}), Order("c01", 5, 2, {"a": "2"})
+    assert FIRST.settled(next_, check) is None, "the first has not been"
+    one = settled(FIRST.settled(order, check))
+    assert one.settled(order, check) is None and one.is_settled(order) and not one.is_settled(next_)
+    two = settled(one.settled(next_, check))
+    assert two.entries == {"a": "2"} and two.settled(order, check) is None
+    assert two.settled(Order("c01", 4, 1, {"a": "0"}), check) is None, "an earlier process's, held up"
+    assert two.settled(Order("c01", 6, 2, {"a": "0"}), check) is None
+    three = settled(two.settled(Order("c01", 6, 1, {"a": None}), check))
+    assert three.entries == {} and three.settled(Order("c01", 5, 3, {"a": "0"}), check) is None
+    assert settled(three.settled(Order("c02", 1, 1, {"b": "1"}), check)).version == 4, "another taker's turn is its own"
+
+
+def test_what_makes_no_sense_where_it_is_written_is_refused_under_a_version_of_its_own() -> None:
+    state = after({"left": "1"})
+    refused = settled(state.settled(Order("c02", 1, 1, {"right": "1"}), check))
+    assert refused.version == 2 and refused.entries == {"left": "1"}
+    assert refused.done[-1] == Done(2, {}, "left and right are not both possible", "c02", 1, 1)
+    assert settled(refused.settled(Order("c02", 1, 2, {"left": None, "right": "1"}), check)).entries == {"right": "1"}
+    many = {f"k{n}": "x" * (CONTENT_MOST // 8) for n in range(9)}
+    assert "at most" in settled(FIRST.settled(Order("c02", 1, 1, many), check)).done[-1].why
+
+
+@pytest.mark.parametrize("entries", [
+    {"": "x"}, {"k" * 65: "x"}, {"k": "x" * (VALUE_MOST + 1)}, {f"k{n}": "" for n in range(ENTRIES_MOST + 1)}])
+def test_entries_have_bounds(entries: dict[str, str]) -> None:
+    assert bounds(entries) and not bounds({"k": "x" * VALUE_MOST})
+
+
+def test_the_steps_that_are_kept_are_bounded_and_without_a_gap() -> None:
+    state = after(*({"k": f"{n}"} for n in range(DONE_MOST + 9)))
+    assert [d.version for d in state.done] == list(range(10, DONE_MOST + 10))
+    state = after(*({"k": f"{n}" * 8000} for n in range(9)))
+    assert sum(len(d.step["k"] or "") for d in state.done) <= STEPS_MOST and state.done[-1].version == 9
+
+
+def test_a_digest_speaks_of_version_and_content() -> None:
+    assert digest(1, {"a": "1", "b": "2"}) == digest(1, {"b": "2", "a": "1"}) != digest(2, {"a": "1", "b": "2"})
+    assert digest(1, {"a": "1"}) != digest(1, {"a": "2"})
+
+
+def test_a_voter_with_another_file_is_a_version_and_an_epoch() -> None:
+    state = after({"a": "1"})
+    assert state.with_voter("c00", "file") is None
+    changed = settled(state.with_voter("c00", "new"))
+    assert (changed.version, changed.epoch, changed.voters, changed.entries) == (2, 1, {"c00": "new"}, {"a": "1"})
+
+
+# --- bytes ----------------------------------------------------------------------------------------
+
+
+def test_messages_come_back_as_they_were_and_nonsense_does_not() -> None:
+    state = replace(after({"a": "1"}, {"a": None}), done=[Done(1, {"a": "1"}), Done(2, {"a": None})])
+    for message in (Beat(3, b"x" * 8, 2, "why", True, True, "c01"), Newest(3, b"x" * 8), Learn(state), Leave(),
+                    Difference(1, 2, b"x" * 8, [{"a": None}]), Whole(2, b"x" * 8, {"a": "1"}), Later(3),
+                    Moved("10.0.0.1", 1, 2, 3), Order("c01", 1, 2, {"a": None}),
+                    Promise((1, "c"), "i", NONE, state), Accept((1, "c"), 0, "i", state)):  # fmt: skip
+        assert codec.decode(codec.encode(message)) == message
+    whole = codec.encode(Newest(3, b"x" * 8))
+    for bad in (b"", whole[:-3], bytes((codec.VERSION + 1,)) + whole[1:], whole[:1] + b"\x77" + whole[2:],
+                codec.encode(Newest(-1, b"x" * 8)), codec.encode(Newest(1, b"x")),
+                codec.encode(Difference(0, 99, b"x" * 8, [{}] * (DONE_MOST + 1)))):  # fmt: skip
+        with pytest.raises(BadMessage):
+            codec.decode(bad)
+
+
+@pytest.mark.parametrize("wrong", [
+    ControlState({}), ControlState({"c": "f"}, 3), ControlState({"c": "f"}, 3, done=(Done(1, {}), Done(3, {}))),
+    ControlState({"c": "f"}, -1), ControlState({"c": "f"}, entries={"k": "x" * (VALUE_MOST + 1)}),
+    ControlState({"c" * 99: "f"}), ControlState({"c": "f"}, takers={f"t{n}": (1, 1) for n in range(65)})])
+def test_a_state_that_no_controller_could_have_made_is_not_taken_up(wrong: ControlState) -> None:
+    with pytest.raises(BadMessage):
+        codec.decode(codec.encode(Learn(wrong)))
+
+
+# --- the link -------------------------------------------------------------------------------------
+
+
+def link(name: str = "c00", life: int = 5, cluster: str = "fleet", host: str = "10.0.0.1") -> Link:
+    return Link(name, (host, 7950), cluster, life, 1, 0.0)
+
+
+def test_other_clusters_and_changed_bytes_are_dropped_and_counted() -> None:
+    here, there = link(), link("r0", host="10.0.1.1")
+    (data,) = there.packed(1.0, here.address, Leave())
+    sender, message, replies = here.came(1.0, data, there.address)
+    assert (sender.name, sender.life, message, replies) == ("r0", 5, Leave(), [])
+    (strange,) = link("r0", cluster="other", host="10.0.1.1").packed(1.0, here.address, Leave())
+    for bad in (strange, data[:-1], bytes((data[0] ^ 1,)) + data[1:], b"", b"junk"):
+        with pytest.raises(Dropped):
+            here.came(1.0, bad, there.address)
+    with pytest.raises(Dropped):
+        there.came(1.0, data, there.address)  # its own, back
+    assert sum(n for why, n in here.counts.items() if why.startswith("dropped")) == 5
+
+
+def test_a_flood_from_one_address_is_dropped_and_others_are_heard() -> None:
+    here, there, third = link(), link("r0", host="10.0.1.1"), link("r1", host="10.0.1.2")
+    for _ in range(SOURCE_PER_S):
+        here.came(1.0, there.packed(1.0, here.address, Leave())[0], there.address)
+    with pytest.raises(Dropped, match="flood"):
+        here.came(1.0, there.packed(1.0, here.address, Leave())[0], there.address)
+    assert here.came(1.0, third.packed(1.0, here.address, Leave())[0], third.address)[1] == Leave()
+    assert here.came(1002.0, there.packed(1.0, here.address, Leave())[0], there.address)[1] == Leave()
+
+
+def test_a_process_whose_clock_went_back_takes_a_higher_life_and_is_heard() -> None:
+    here, before, now = link(), link("r0", 900, host="10.0.1.1"), link("r0", 3, host="10.0.1.1")
+    here.came(1.0, before.packed(1.0, here.address, Leave())[0], before.address)
+    sender, message, (later,) = here.came(2.0, now.packed(2.0, here.address, Leave())[0], now.address)
+    assert message is None and now.came(2.0, later, here.address)[1] is None and now.life == 901
+    assert here.came(3.0, now.packed(3.0, here.address, Leave())[0], now.address)[1] == Leave()
+    assert now.came(4.0, here.packed(4.0, now.address, Later(7))[0], here.address)[1] is None and now.life == 901
+
+
+def test_the_tables_of_a_link_are_bounded() -> None:
+    here = link()
+    for n in range(LIVES_MOST + 9):
+        there = link("r", host=f"10.{n >> 8}.{n & 255}.9")
+        here.sources.clear()
+        here.came(1.0, there.packed(1.0, here.address, Leave())[0], there.address)
+    assert len(here.lives) == LIVES_MOST
+    for _ in range(600):
+        here.packed(1.0, RELAY.address, Whole(1, b"x" * 8, {f"{n}": f"{hash((n, 7))}" * 9 for n in range(40)}))
+    assert len(here.parcels.sent) <= 256
+
+
+# --- the agent ------------------------------------------------------------------------------------
+
+
+class Relay:
+    """An agent, what it asked for, and a controller that it talks with."""
+
+    def __init__(self, version: int = 0, entries: Entries | None = None, machines: int = 3) -> None:
+        self.agent = Agent(list(MACHINES[:machines]), check, 1, 0.0, version, entries)
+        self.now, self.at = 0.0, 0
+        self.effects: list[Any] = self.agent.take_effects()
+
+    def post(self, event: Event, late_ms: float = 1.0) -> list[Any]:
+        self.now += late_ms
+        self.effects = self.agent.step(self.now, event)
+        return self.effects
+
+    def came(self, message: object, machine: Machine = MACHINES[0], late_ms: float = 1.0) -> list[Any]:
+        self.at += 1
+        return self.post(Came(Sender(machine.name, machine.address, 1, self.at), message), late_ms)
+
+    def takes(self) -> list[tuple[int, Entries]]:
+        return [(e.version, e.entries) for e in self.effects if isinstance(e, Take)]
+
+    def beats(self) -> list[Beat]:
+        return [e.message for e in self.effects if isinstance(e, Send) and isinstance(e.message, Beat)]
+
+    def notes(self) -> list[str]:
+        return [e.text for e in self.effects if isinstance(e, Note)]
+
+
+def whole(version: int, entries: Entries) -> Whole:
+    return Whole(version, digest(version, entries), dict(entries))
+
+
+def difference(base: int, before: Entries, *steps: Step) -> Difference:
+    entries = before
+    for step in steps:
+        entries = stepped(entries, step)
+    version = base + len(steps)
+    return Difference(base, version, digest(version, entries), [dict(step) for step in steps])
+
+
+def test_steps_are_taken_in_their_order_and_kept() -> None:
+    relay = Relay()
+    relay.came(difference(0, {}, {"a": "1"}, {"a": "2", "b": "1"}))
+    assert relay.takes() == [(2, {"a": "2", "b": "1"})] and Keep(2, {"a": "2", "b": "1"}) in relay.effects
+    assert relay.beats()[-1].taken == 2
+    relay.came(difference(1, {"a": "1"}, {"a": "2", "b": "1"}, {"a": None}))
+    assert relay.takes() == [(3, {"b": "1"})], "of steps that overlap those that it has not"
+    (take,) = [e for e in relay.effects if isinstance(e, Take)]
+    assert take.changed == {"a"}
+
+
+def test_nothing_older_and_nothing_over_a_gap_is_taken() -> None:
+    relay = Relay()
+    relay.came(whole(5, {"a": "5"}))
+    for message in (whole(4, {"a": "4"}), whole(5, {"a": "other"}), difference(3, {}, {"a": "4"}),
+                    difference(6, {"a": "5"}, {"a": "7"}),
+                    Difference(4, 9, digest(9, {"a": "9"}), [{"a": "9"}])):  # fmt: skip
+        relay.came(message)
+        assert not relay.takes() and relay.agent.taken == 5, message
+    assert relay.beats()[-1].known == 5, "it says from where on"
+
+
+def test_a_wrong_digest_is_not_taken_and_all_is_asked_for_and_no_storm_comes_of_it() -> None:
+    relay = Relay()
+    relay.came(whole(1, {"a": "1"}))
+    relay.came(Difference(1, 2, digest(2, {"a": "2"}), [{"a": "3"}]))
+    assert not relay.takes() and relay.beats()[-1].whole
+    relay.came(Whole(2, b"12345678", {"a": "2"}))
+    assert not relay.takes() and not relay.beats(), "a sender with a fault that stays would answer at once"
+    relay.came(whole(2, {"a": "2"}))
+    assert relay.takes() == [(2, {"a": "2"})] and not relay.beats()[-1].whole
+
+
+def test_another_content_under_its_version_is_said_and_the_next_is_taken_whole() -> None:
+    relay = Relay()
+    relay.came(whole(1, {"a": "1"}))
+    relay.came(Newest(1, digest(1, {"a": "2"})))
+    assert "another content" in relay.notes()[0] and relay.agent.whole and not relay.takes()
+
+
+def test_what_the_check_turns_down_is_not_served_by_and_the_next_good_one_is() -> None:
+    relay = Relay()
+    relay.came(whole(1, {"a": "1"}))
+    relay.came(difference(1, {"a": "1"}, {"a": "nonsense"}))
+    assert not relay.takes() and relay.agent.served == {"a": "1"}
+    assert (relay.beats()[-1].known, relay.beats()[-1].taken, relay.beats()[-1].why) == (2, 1, "a makes no sense")
+    relay.came(difference(2, {"a": "nonsense"}, {"a": "3"}))
+    assert relay.takes() == [(3, {"a": "3"})] and relay.beats()[-1].why == ""
+
+
+def test_a_version_that_the_process_cannot_take_leaves_it_at_the_one_before() -> None:
+    relay = Relay()
+    relay.came(whole(1, {"a": "1"}))
+    relay.came(whole(2, {"a": "2"}))
+    relay.post(Turned(1, "too late to matter"))
+    assert relay.agent.taken == 2
+    relay.post(Turned(2, "no memory"))
+    assert (relay.agent.taken, relay.agent.served) == (1, {"a": "1"})
+    assert (relay.beats()[-1].known, relay.beats()[-1].taken, relay.beats()[-1].why) == (2, 1, "no memory")
+    relay.came(difference(2, {"a": "2"}, {"b": "3"}))
+    (take,) = [e for e in relay.effects if isinstance(e, Take)]
+    assert take.changed == {"a", "b"}, "from what it serves by"
+
+
+def test_after_a_restart_it_serves_by_what_it_kept_without_any_controller() -> None:
+    relay = Relay(7, {"a": "7"})
+    assert relay.takes() == [(7, {"a": "7"})]
+    relay.came(whole(6, {"a": "6"}))
+    assert not relay.takes()
+    assert Relay(7, {"a": "nonsense"}).takes() == []
+
+
+def test_a_relay_that_is_ahead_takes_nothing_older_and_says_that_the_controllers_lost_something() -> None:
+    relay = Relay(7, {"a": "7"})
+    assert not relay.came(Newest(3, digest(3, {}))) or not relay.notes()
+    relay.came(Newest(3, digest(3, {})), late_ms=AHEAD_MS + 1.0)
+    assert "nothing older is taken" in relay.notes()[0] and relay.agent.taken == 7
+    relay.came(Newest(7, relay.agent.digest))
+    relay.came(Newest(3, digest(3, {})), late_ms=AHEAD_MS + 1.0)
+    assert not relay.notes(), "one that is behind for a moment is not noted"
+
+
+def test_who_is_none_of_the_controllers_is_not_heard() -> None:
+    relay = Relay()
+    for sender in (Sender("c99", ("10.0.0.9", 1)), Sender("c00", ("10.0.0.99", 7950))):
+        relay.post(Came(sender, whole(9, {"a": "9"})))
+        assert not relay.takes() and "none of the controllers here" in relay.notes()[0]
+
+
+def test_a_silent_controller_is_left_for_another_and_a_better_one_is_gone_back_to() -> None:
+    relay = Relay()
+    relay.came(Newest(0, digest(0, {})), MACHINES[1])
+    assert relay.agent.current is MACHINES[1]
+    relay.came(Newest(0, digest(0, {})), MACHINES[2])
+    assert relay.agent.current is MACHINES[1], "one that answers is kept"
+    relay.came(Newest(0, digest(0, {})), MACHINES[0])
+    left = [e.to.name for e in relay.effects if isinstance(e, Send) and isinstance(e.message, Leave)]
+    assert relay.agent.current is MACHINES[0] and left == ["c01"]
+    relay.post(Woke(), SILENT_MS + 1.0)
+    assert {e.to.name for e in relay.effects if isinstance(e, Send)} >= {"c00", "c01"}, "it asks others"
+    relay.came(Newest(0, digest(0, {})), MACHINES[2])
+    assert relay.agent.current is MACHINES[2] and relay.beats()[-1].before == "c00"
+    assert [type(e.message) for e in relay.agent.leave() if isinstance(e, Send)] == [Leave]
+
+
+# --- the controller -------------------------------------------------------------------------------
+
+
+class Control:
+    """One controller, its voter, and what it asked for. Others are heard by `came`."""
+
+    def __init__(self, name: str = "c00", life: int = 1, seed: int = 1, kept: Kept[ControlState] | None = None) -> None:
+        machine = next(m for m in MACHINES if m.name == name)
+        self.kept = kept or Kept("file", NONE, NONE, FIRST)
+        self.me = Sender(name, machine.address, life)
+        self.core = Controller(machine, MACHINES, FIRST, self.kept.identity if machine.voter else "", self.kept.state,
+                               life, check, seed, 0.0)  # fmt: skip
+        self.core.take_effects()
+        self.voter = Voter(self.kept, lambda kept: None)
+        self.now, self.at = 0.0, 0
+        self.effects: list[Any] = []
+
+    def post(self, event: Event, late_ms: float = 1.0) -> list[Any]:
+        """With its own votes, until all is quiet."""
+        self.now += late_ms
+        self.effects, events = [], [event]
+        while events:
+            for effect in self.core.step(self.now, events.pop(0)):
+                if isinstance(effect, Send) and effect.to.name == self.me.name:
+                    events.append(Came(self.me, effect.message))
+                elif isinstance(effect, Vote):
+                    events.append(Came(self.me, self.voter.told(effect.message)))
+                else:
+                    self.effects.append(effect)
+        return self.effects
+
+    def came(self, sender: Sender, message: object, late_ms: float = 1.0) -> list[Any]:
+        self.at += 1
+        return self.post(Came(Sender(sender.name, sender.address, sender.life, self.at), message), late_ms)
+
+    def answers(self) -> list[tuple[int, int, str]]:
+        return [(e.ticket, e.version, e.why) for e in self.effects if isinstance(e, Answer)]
+
+    def sent(self, kind: type) -> list[Any]:
+        return [e.message for e in self.effects if isinstance(e, Send) and isinstance(e.message, kind)]
+
+    def notes(self) -> list[str]:
+        return [e.text for e in self.effects if isinstance(e, Note)]
+
+
+def beat(known: int = 0, entries: Entries | None = None, **more: Any) -> Beat:
+    return Beat(known, digest(known, entries or {}), more.pop("taken", known), attached=True, **more)
+
+
+def test_an_order_is_agreed_on_answered_and_told_to_relays_at_once() -> None:
+    control = Control()
+    control.came(RELAY, beat())
+    control.post(Ordered(7, {"a": "1"}))
+    assert control.answers() == [(7, 1, "")] and control.sent(Difference) == [difference(0, {}, {"a": "1"})]
+    assert [e.state.version for e in control.effects if isinstance(e, Took)] == [1]
+    assert [m.state.entries for m in control.sent(Learn)] == [{"a": "1"}] * 2, "and to the other controllers"
+
+
+@pytest.mark.parametrize(("step", "why"), [
+    ({"a": "nonsense"}, "makes no sense"), ({"a": "x" * (VALUE_MOST + 1)}, "at most"), ({"": "x"}, "characters"),
+    ({"right": "1"}, "not both possible")])
+def test_a_change_that_makes_no_sense_is_turned_down_at_the_door(step: Step, why: str) -> None:
+    control = Control()
+    control.post(Ordered(1, {"left": "1"}))
+    control.post(Ordered(2, step))
+    ((ticket, version, said),) = control.answers()
+    assert (ticket, version) == (2, 0) and why in said and control.core.state.version == 1
+
+
+def test_of_two_orders_that_clash_the_later_is_refused_by_name_of_the_cause() -> None:
+    control = Control()
+    control.came(Sender("c01", MACHINES[1].address, 4), Order("c01", 4, 1, {"left": "1"}))
+    control.post(Came(Sender("c02", MACHINES[2].address, 4, 9), Order("c02", 4, 1, {"right": "1"})))
+    assert control.core.state.entries == {"left": "1"}
+    assert control.core.shown()["refused"] == [{"version": 2, "why": "left and right are not both possible"}]
+
+
+def test_without_a_majority_orders_end_with_the_cause_and_the_next_go_under_a_new_life() -> None:
+    control = Control("c01")  # no voter, and nobody answers
+    control.post(Ordered(1, {"a": "1"}))
+    control.post(Woke(), EXPIRE_MS + 100.0)
+    ((ticket, version, why),) = control.answers()
+    assert (ticket, version) == (1, 0) and "may still come" in why and not control.core.pending
+    control.post(Ordered(2, {"a": "2"}))
+    assert control.core.pending[0].order == Order("c01", 2, 1, {"a": "2"})
+
+
+def test_waiting_orders_are_bounded() -> None:
+    control = Control("c01")
+    for n in range(ORDERS_MOST + 1):
+        control.post(Ordered(n, {"a": f"{n}"}), 0.0)
+    assert "wait already" in control.answers()[0][2] and len(control.core.pending) == ORDERS_MOST
+    for n in range(2 * ORDERS_MOST):
+        control.came(Sender("c02", MACHINES[2].address, 4), Order("c02", 4, n + 2, {"a": "1"}), 0.0)
+    assert len(control.core.round.queue) <= ORDERS_MOST
+
+
+def test_orders_and_votes_and_states_of_strangers_change_nothing() -> None:
+    control, far = Control(), after({"a": "1"})
+    for name in ("c99", "r0"):
+        stranger = Sender(name, ("10.9.9.9", 1), 1)
+        for message in (Order(name, 1, 1, {"a": "1"}), Learn(far), Sum(9, 0, [], []), Leave(),
+                        Promise((1, "x"), "file", NONE, far),
+                        Moved(*RELAY.address, 9, 9), Prepare((99, name), 0, "file")):  # fmt: skip
+            control.came(stranger, message)
+            assert not [e for e in control.effects if not isinstance(e, Note)], message
+    control.came(Sender("c01", MACHINES[1].address, 1), Order("c02", 1, 1, {"a": "1"}))
+    control.came(Sender("c01", MACHINES[1].address, 1), "what is this")
+    assert control.core.state.version == 0 and not control.core.round.queue
+
+
+def test_who_has_no_file_is_no_voter() -> None:
+    control = Control("c01")
+    control.came(Sender("c00", MACHINES[0].address, 1), Prepare((1, "x"), 0, "file"))
+    (refused,) = control.sent(Refused)
+    assert refused.not_voter
+
+
+def test_an_older_state_is_not_taken_up() -> None:
+    control = Control("c01")
+    one, two = after({"a": "1"}), after({"a": "1"}, {"a": "2"})
+    c00 = Sender("c00", MACHINES[0].address, 1)
+    control.came(c00, Learn(two))
+    control.came(c00, Learn(one))
+    assert control.core.state == two and not [e for e in control.effects if isinstance(e, Took)]
+
+
+def test_two_relays_of_one_name_are_served_and_said_once() -> None:
+    control = Control()
+    control.came(RELAY, beat())
+    twin = Sender("r0", ("10.0.1.2", 7950), 1)
+    control.came(twin, beat())
+    assert ["two relays are called r0" in note for note in control.notes()] == [True]
+    control.came(Sender("r0", ("10.0.1.3", 7950), 1), beat())
+    assert not control.notes() and len(control.core.relays) == 3
+
+
+def test_a_relay_that_is_ahead_is_said_and_told_nothing_older() -> None:
+    control = Control()
+    control.came(RELAY, beat(9), late_ms=6000.0)
+    assert "newer than what is agreed on here" in control.notes()[0]
+    assert control.sent(Newest) and not control.sent(Whole) and not control.sent(Difference)
+
+
+def test_what_was_overtaken_on_its_way_changes_nothing() -> None:
+    control = Control()
+    control.post(Came(Sender("r0", RELAY.address, 2, 50), beat(taken=0)))
+    for sender in (Sender("r0", RELAY.address, 2, 49), Sender("r0", RELAY.address, 1, 99)):
+        control.post(Came(sender, beat(4)))
+        control.post(Came(sender, Leave()))
+    c01 = MACHINES[1]
+    control.post(Came(Sender("c01", c01.address, 1, 1), Moved(*RELAY.address, 2, 49)))
+    (relay,) = control.core.relays.values()
+    assert relay.known == 0 and not relay.left
+    control.post(Came(Sender("c01", c01.address, 2, 50), Sum(0, 7, [(0, 7)], [])))
+    control.post(Came(Sender("c01", c01.address, 2, 49), Sum(0, 1, [(0, 1)], [])))
+    assert control.core.shown()["controllers"]["c01"]["relays"] == 7
+
+
+def test_the_table_of_relays_is_bounded_and_the_longest_silent_goes() -> None:
+    control = Control()
+    for n in range(RELAYS_MOST + 1):
+        control.came(Sender(f"r{n}", (f"10.1.{n >> 8}.{n & 255}", 1), 1), beat(), 0.0)
+    assert len(control.core.relays) == RELAYS_MOST and control.core.counts["no_room"] == 1
+    control.came(Sender("late", ("10.2.0.1", 1), 1), beat(), 5000.0)
+    assert len(control.core.relays) == RELAYS_MOST and ("10.2.0.1", 1) in control.core.relays
+
+
+def test_steps_that_are_no_longer_known_are_told_as_a_whole() -> None:
+    control, c01 = Control(), Sender("c01", MACHINES[1].address, 1)
+    state = FIRST
+    for _ in range(LOG_MOST // DONE_MOST + 2):
+        state = after(*({"k": f"{n}" * 9, f"x{n}": "y" * 40} for n in range(DONE_MOST)), state=state)
+        control.came(c01, Learn(state))
+    assert len(control.core.log) <= LOG_MOST
+    newest = state.version
+    control.came(RELAY, beat(newest - 2, state.entries), 300.0)
+    assert [d.base for d in control.sent(Difference)] == [newest - 2]
+    control.came(RELAY, beat(newest - 100, state.entries), 300.0)
+    assert control.sent(Whole) == [whole(newest, state.entries)]
+    control.came(RELAY, beat(newest - 1, state.entries, whole=True))
+    assert control.sent(Whole) == [whole(newest, state.entries)], "who asks for all gets all"
+    far = after(*({"k": f"{n}"} for n in range(DONE_MOST + 30)), state=state)
+    control.came(c01, Learn(far))
+    control.came(RELAY, beat(newest, state.entries), 300.0)
+    assert control.sent(Whole) and not control.sent(Difference), "over a gap"
+
+
+def test_no_two_processes_of_a_controller_propose_under_one_ballot() -> None:
+    ballots = set()
+    for seed in (1, 2):
+        control = Control(seed=seed)
+        ballots |= {e.message.ballot for e in control.core.step(500.0, Woke())
+                    if isinstance(e, Send) and isinstance(e.message, Prepare)}  # fmt: skip
+    assert len(ballots) == 2 and len({number for number, _ in ballots}) == 1
+
+
+def test_orders_that_an_earlier_process_with_a_higher_life_overtook_are_settled_once() -> None:
+    """The clock went back. The earlier process's order was still on its way, and came between this one's."""
+    control, c00 = Control("c01", life=502), Sender("c00", MACHINES[0].address, 1)
+    for ticket in (1, 2, 3):
+        control.post(Ordered(ticket, {"a": f"{ticket}"}))
+    state = after({"a": "1"}, {"a": "2"}, taker="c01", life=502)
+    control.came(c00, Learn(after({"b": "old"}, state=state, taker="c01", life=1000)))
+    assert control.answers() == [(1, 1, ""), (2, 2, "")]
+    assert [p.order for p in control.core.pending] == [Order("c01", 1001, 1, {"a": "3"})]
+
+
+def test_orders_of_which_nobody_knows_any_more_are_answered_so() -> None:
+    control, c00 = Control("c01", life=502), Sender("c00", MACHINES[0].address, 1)
+    control.post(Ordered(1, {"a": "1"}))
+    state = after({"b": "old"}, state=after({"a": "1"}, taker="c01", life=502), taker="c01", life=1000)
+    control.came(c00, Learn(after(*({"z": f"{n}"} for n in range(DONE_MOST)), state=state, taker="c02")))
+    ((_, version, why),) = control.answers()
+    assert version == 0 and "see `show`" in why and not control.core.pending
+
+
+# --- what is said to be in force ------------------------------------------------------------------
+
+
+def steady() -> Control:
+    """Two controllers that hear each other for a while, and a relay at each."""
+    control, c01 = Control(), Sender("c01", MACHINES[1].address, 1)
+    for _ in range(int(SURE_MS / 100.0) + 5):
+        control.came(RELAY, beat(), 0.0)
+        control.came(c01, Sum(0, 1, [(0, 1)], []), 0.0)
+        control.post(Woke(), 100.0)
+    return control
+
+
+def test_in_force_is_what_all_relays_of_all_controllers_have() -> None:
+    control, c01 = steady(), Sender("c01", MACHINES[1].address, 1)
+    control.post(Ordered(1, {"a": "1"}))
+    assert control.core.shown()["in_force"] == 0
+    control.came(RELAY, beat(1, {"a": "1"}))
+    assert control.core.shown()["in_force"] == 0, "c01's relay has not"
+    control.came(c01, Sum(1, 1, [(1, 1)], []))
+    assert control.core.shown()["in_force"] == 1
+    notes = [note for _ in range(4) for note in control.post(Woke(), 100.0) and control.notes()]
+    assert ["version 1 is in force at 2 relays" in note for note in notes] == [True], "said once"
+
+
+@pytest.mark.parametrize("what", ["silent", "new life", "stood still", "just started"])
+def test_nothing_newer_is_in_force_while_relays_may_be_with_nobody_who_is_heard(what: str) -> None:
+    control = steady() if what != "just started" else Control()
+    c01 = Sender("c01", MACHINES[1].address, 1)
+    if what == "silent":
+        for _ in range(12):
+            control.post(Woke(), 100.0)
+    elif what == "new life":
+        control.came(Sender("c01", MACHINES[1].address, 2), Sum(0, 0, [], []))
+    elif what == "stood still":
+        control.came(c01, Sum(0, 0, [], []), 1500.0)
+    control.came(RELAY, beat())
+    control.post(Ordered(1, {"a": "1"}))
+    control.came(RELAY, beat(1, {"a": "1"}))
+    life = 2 if what == "new life" else 1
+    if what != "silent":
+        control.came(Sender("c01", MACHINES[1].address, life), Sum(1, 0, [], []))
+    assert control.core.shown()["in_force"] == 0, "a relay may be on its way from one to another"
+    for _ in range(int(SURE_MS / 100.0) + 2):
+        control.came(RELAY, beat(1, {"a": "1"}), 0.0)
+        if what != "silent":
+            control.came(Sender("c01", MACHINES[1].address, life), Sum(1, 0, [], []), 0.0)
+        control.post(Woke(), 100.0)
+    assert control.core.shown()["in_force"] == 1
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_relay_that_left_counts_until_its_next_controller_has_told_of_it(told: bool) -> None:
+    control, c01 = steady(), Sender("c01", MACHINES[1].address, 1)
+    control.came(c01, Sum(0, 0, [], []))
+    control.post(Came(Sender("r0", RELAY.address, 1, 10_000), Leave()))
+    control.post(Ordered(1, {"a": "1"}))
+    assert control.core.shown()["in_force"] == 0 and control.core.shown()["relays"] == 0
+    assert not control.sent(Difference), "it is told by another"
+    if told:
+        control.came(c01, Moved(*RELAY.address, 1, 10_001))
+    for n in range(int(SURE_MS / 100.0) + 4):
+        if n == 20:
+            assert control.core.shown()["in_force"] == (1 if told else 0)
+        control.came(c01, Sum(1, 1, [(1, 1)], []), 0.0)
+        control.post(Woke(), 100.0)
+    assert control.core.shown()["in_force"] == 1 and not control.core.relays
+
+
+# --- days -----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("first", range(0, 32, 8))
+def test_whatever_fails_relays_keep_to_the_rules_and_come_together_after_it(first: int) -> None:
+    played = seeds(first, 8)
+    assert not played.violations and not played.stuck, played
+    assert played.days == 8 and played.counts["versions"] > 80 and played.counts["claims"] > 150
+
+
+def test_a_day_replays_exactly() -> None:
+    one, other = play_control(11), play_control(11)
+    assert (one.counts, one.faults, one.took_s) == (other.counts, other.faults, other.took_s)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_controller_dies_at_each_step(kind: str) -> None:
+    for number in (1, 4):
+        faults = [Fault("dies", 1.0, 5.0, one=(kind, f"{number}")), Fault("loss", 1.0, 5.0, 0.1)]
+        found = play_control(number, faults=faults, fleet=(3, 3, 6))
+        assert not found.violations and not found.stuck, (kind, number, found)
+
+
+def test_a_majority_of_dead_voters_changes_nothing_and_all_is_well_when_they_are_back() -> None:
+    faults = [Fault("kill", 2.0, 5.0, one=(name,)) for name in ("c00", "c01")]
+    found = play_control(3, faults=faults, fleet=(3, 3, 6), together=False)
+    assert not found.violations and not found.stuck and found.counts["versions"] > 3
+
+
+EVERY = tuple(f"r{n:04d}" for n in range(6))
+SMALL, LARGER = (3, 3, 6), (5, 5, 6)
+LOSS, DOUBLE = Fault("loss", 1.0, 9.0, 0.3), Fault("double", 1.0, 9.0, 0.5, 700.0)
+SPLITS = [LOSS, Fault("held", 1.0, 9.0, 0.25, 1500.0),
+          Fault("split", 2.0, 3.0, one=("c00", *EVERY), other=("c01", "c02")),
+          Fault("split", 5.5, 3.0, one=("c01", *EVERY), other=("c00", "c02"))]  # fmt: skip
+KILLS = [*(Fault("kill", 2.0 + n * 0.8, 0.4, one=(f"c{n % 3:02d}",)) for n in range(9)),
+         Fault("loss", 1.0, 9.0, 0.2), Fault("double", 1.0, 9.0, 0.5, 1500.0)]  # fmt: skip
+DISORDER = [Fault("reorder", 1.0, 9.0, 0.5, 700.0), LOSS, DOUBLE,
+            Fault("oneway", 1.0, 9.0, one=("c01",), other=("c00",))]  # fmt: skip
+STALLS = [*(Fault("stall", 2.0 + n * 1.2, 0.9, one=(f"c{n % 3:02d}",)) for n in range(6)),
+          Fault("loss", 1.0, 9.0, 0.2), Fault("late", 1.0, 9.0, late_ms=300.0)]  # fmt: skip
+# What is to be found, and the day that finds it: a seed, and its faults where they are not the seed's own.
+FOUND: dict[str, tuple[int, tuple[int, int, int] | None, list[Fault] | None]] = {
+    "unkept": (0, None, None),
+    "digest": (2, None, None),
+    "unchecked": (8, None, None),
+    "not checked again": (8, None, None),
+    "forgets": (1, SMALL, KILLS),
+    "twice": (0, SMALL, SPLITS),
+    "out of turn": (0, SMALL, SPLITS),
+    "uncommitted": (0, SMALL, DISORDER),
+    "believes one voter": (1, SMALL, DISORDER),
+    "believes proposals": (0, SMALL, STALLS),
+    "not adopted": (0, SMALL, KILLS),
+    "oldest promise": (0, SMALL, KILLS),
+    "half": (0, SMALL, SPLITS),
+    "breaks promises": (3, SMALL, DISORDER),
+    "promises nothing": (1, SMALL, SPLITS),
+    "hides": (0, SMALL, SPLITS),
+    "any ballot": (5, SMALL, DISORDER),
+    "older": (0, SMALL, [
+        Fault("split", 1.5, 7.0, one=("c01",), other=("c00", "c02")), Fault("kill", 4.0, 2.0, one=("c00",))]),
+    "in force too early": (0, SMALL, [
+        Fault("kill", 3.2 + n * 2.0, 1.3, one=(f"c{n % 3:02d}",)) for n in range(4)]),
+    "forgets who leaves": (99, None, None),
+    "lies": (0, SMALL, [
+        Fault("lost", 1.2, 2.8, one=("c02",), other=("c00", "c01")), Fault("file", 4.0, 0.3, one=("c01",)),
+        Fault("stall", 4.1, 4.0, one=("c00",))]),
+    "serves on": (0, SMALL, [Fault("old program", 1.0, 8.0, one=EVERY[:3])]),
+    "log over a gap": (2, SMALL, [Fault("kill", 1.2, 8.0, one=("r0003",))]),
+    "gap": (26, SMALL, [
+        Fault("old program", 1.0, 9.0, one=EVERY), Fault("held", 1.0, 9.0, 0.3, 1500.0),
+        *(Fault("kill", 1.5 + 0.7 * n, 0.3, one=(EVERY[n % 6],)) for n in range(11))]),
+    "numbers anew": (2, SMALL, [
+        Fault("clock", 2.0, 0.5, one=("c02",)), Fault("clock", 4.0, 0.5, one=("c01",)),
+        Fault("late", 1.0, 9.0, late_ms=500.0), Fault("loss", 1.0, 9.0, 0.2), Fault("double", 1.0, 9.0, 0.5, 2000.0)]),
+    "counts twice": (7, LARGER, [
+        Fault("split", 2.0, 4.0, one=("c00", "c01", *EVERY), other=("c02", "c03", "c04")),
+        Fault("double", 1.0, 8.0, 0.5, 200.0)]),
+}  # fmt: skip
+
+
+def test_no_planted_defect_is_left_out() -> None:
+    assert FOUND.keys() == DEFECTS.keys()
+
+
+@pytest.mark.parametrize("defect", FOUND)
+def test_each_planted_defect_is_found_and_nothing_is_without_it(defect: str) -> None:
+    seed, fleet, faults = FOUND[defect]
+    together = None if faults is None else False
+    found = play_control(seed, DEFECTS[defect], faults, fleet, together)
+    assert found.violations or found.stuck
+    sound = play_control(seed, None, faults, fleet, together)
+    assert not sound.violations and not sound.stuck, sound
