--- a/benchmarks/capacity/change.py
+++ b/benchmarks/capacity/change.py
@@ -25,6 +25,7 @@
 from benchmarks.common import finish, options
 from benchmarks.signals import datagram_s, deep_kb
 from yarrowspindle.lab.model.controlling import ZONES, Change, ControllerHost, ControlWorld, Host, RelayHost
+from yarrowspindle.lab.model.controlling_days import seeds
 
 RELAYS = {"small": 96, "machine": AHEAD, "large": 2 * AHEAD}
 SLOPES = {"small": (24, 48), "machine": (100, 200, 400), "large": (100, 200, 400)}  # fitted; checked at the whole fleet
@@ -37,6 +38,7 @@
 STEPS = ("Order", "Prepare", "Promise", "Accept", "Accepted", "Learn", "Difference", "Sum", "Newest")
 SMALL_STEPS = ("Accept", "Accepted", "Learn", "Difference")
 RESTARTS, RESTARTS_S = 150, 60.0
+DAYS = {"small": 16, "machine": 1000, "large": 10_000}
 SOCKETS = {"machine": ((200, 4), (400, 6)), "large": ((200, 4), (400, 6))}  # hollow relays, and processes of them
 
 
@@ -293,6 +295,17 @@
     return rows
 
 
+def safety(pool: Executor, first: int, count: int, broken: list[str]) -> dict[str, Any]:
+    """Days of small fleets with faults drawn from the seed, and all that may never be."""
+    each = 8
+    played = list(pool.map(seeds, range(first, first + count, each), [each] * -(-count // each)))
+    bad = {seed: text for some in played for seed, text in [*some.violations.items(), *some.stuck.items()]}
+    versions = sum(some.counts["versions"] for some in played)
+    print(f"{sum(some.days for some in played)} days from seed {first} on: {len(bad)} broke a rule or were stuck")
+    broken += [f"safety, seed {seed}: {text}" for seed, text in sorted(bad.items())[:5]]
+    return {"days": sum(some.days for some in played), "days_broken": len(bad), "days_versions": versions}
+
+
 def flat(costs: Sequence[dict[str, Any]], broken: list[str]) -> dict[str, Any]:
     """Of a relay: fitted without the largest fleet, checked there; and at most a tenth more there than in the least."""
     least, whole = costs[0], costs[-1]
@@ -318,13 +331,14 @@
     with ProcessPoolExecutor(PROCESSES) as pool:
         names = [*(SCENARIOS if "change" in only else ()), *(FAULTS if "faults" in only else ())]
         rows = played(pool, names, whole, seed, size, broken)
+        days = safety(pool, 1000 * seed, DAYS[size], broken) if "faults" in only else {}
         if "change" in only:
             sizes = [n for n in SLOPES[size] if n < whole] + [whole]
             costs = [found for found, _ in pool.map(one, [("cost", n, seed, size) for n in reversed(sizes)])][::-1]
     found = {"relays": whole, "in_force_p50_s": median(row["p50_s"] for row in rows),
              "in_force_max_s": max(row["max_s"] for row in rows if row["what"] != "all relays start at once"),
              "behind": sum(row["behind"] for row in rows), "older_after_newer": sum(row["older"] for row in rows),
-             "rows": rows}  # fmt: skip
+             "rows": rows} | days  # fmt: skip
     if "change" in only and size in SOCKETS:
         found["sockets"] = [sockets.play(*one, seed, broken) for one in SOCKETS[size]]
     for row in costs:
