--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -187,6 +187,16 @@
     assert sum(len(sends(b.handle(2.0, Request(n, left_ms=1000.0)))) for n in range(50)) <= 3
 
 
+def test_few_relays_make_their_first_calls_in_turn_and_many_within_their_time() -> None:
+    """A discovery that serves four calls a second is not asked faster by few; rude+fleet lost 0.05 of G by that."""
+    for balancers, least, most in ((1, 100.0, 200.0), (4, 500.0, 800.0), (200, 1200.0, 1500.0)):
+        first = []
+        for seed in range(50):
+            b = Balancer(settings(asks=True, balancers=balancers), seed, 0.0)
+            first.append(timers(b.handle(0.0, ServerList(ListKind.CACHED, [ServerEntry(1)])))[0].delay_ms)
+        assert least < max(first) <= most
+
+
 def test_subscribing_is_spread_and_repeated_after_a_failure_with_growing_waits() -> None:
     first = set()
     for seed in range(20):
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -132,7 +132,7 @@
         for ring in (self.inner, self.everywhere):
             ring.usual = max(ring.usual, ring.total)
         if event.kind is ListKind.CACHED:
-            self._ask_later(0.0, 0.25)  # not together, but soon: of what changed before, much may be due
+            self._ask_later(0.0, min(0.8, 1500.0 / min(CALL_MS * max(1, self.settings.balancers), TOLD_MS)))
         else:
             self.failures = 0
         for job in list(self.held.values()):
