Open a socket of datagrams that may still be taken in one place

Cause: control and peers waited for an address that the process before still has by the same lines. Ruled out: sharing more of the two (their cores, close and figures differ). Change: Front.open in transport/datagrams.py; what is logged stays.

--- a/yarrowspindle/program/control.py
+++ b/yarrowspindle/program/control.py
@@ -29,7 +29,7 @@
 from yarrowspindle.routing.messages import Address
 from yarrowspindle.transport.datagrams import Front
 
-AGAIN_S = 1.0  # an address that is taken, a lock or a disk is tried again this often
+AGAIN_S = 1.0  # a lock, a disk or a core that failed is tried again after so long
 DUE_S = 0.05  # how often parts that are missing are asked for
 FLUSH_S = 0.02
 SAID_S, SAID_MOST = 60.0, 1024  # one and the same warning is said once in this time
@@ -75,16 +75,8 @@
             self.front.transport.close()
 
     async def _open(self) -> None:
-        said = False
-        while True:
-            try:
-                await self.loop.create_datagram_endpoint(lambda: self.front, local_addr=self.settings.listen)
-                break
-            except OSError as error:
-                if not said:
-                    logger.warning("control: {}:{} cannot be had yet: {}", *self.settings.listen, error)
-                said = True
-                await asyncio.sleep(AGAIN_S)
+        await self.front.open(self.settings.listen, lambda error: logger.warning(
+            "control: {}:{} cannot be had yet: {}", *self.settings.listen, error))
         logger.info("control: {} {} of cluster {} listens at {}:{}, the others reach it at {}:{}", self.settings.role,
                     self.name, self.settings.cluster, *self.settings.listen, *self.settings.reached_at)  # fmt: skip
 
--- a/yarrowspindle/program/peering.py
+++ b/yarrowspindle/program/peering.py
@@ -21,7 +21,6 @@
 from yarrowspindle.runtime.peer_pump import PeerPump, own_word
 from yarrowspindle.transport.datagrams import Front
 
-AGAIN_S = 1.0  # an address that is taken is tried again: the process before this one may still have it
 FLUSH_S = 0.02
 
 
@@ -61,17 +60,8 @@
             self.front.transport.close()
 
     async def _open(self) -> None:
-        said = False
-        while True:
-            try:
-                await self.loop.create_datagram_endpoint(lambda: self.front, local_addr=self.settings.listen)
-                break
-            except OSError as error:
-                if not said:
-                    logger.warning("peers: {}:{} cannot be had yet, jobs are placed by own load meanwhile: {}",
-                                   *self.settings.listen, error)  # fmt: skip
-                said = True
-                await asyncio.sleep(AGAIN_S)
+        await self.front.open(self.settings.listen, lambda error: logger.warning(
+            "peers: {}:{} cannot be had yet, jobs are placed by own load meanwhile: {}", *self.settings.listen, error))
         logger.info("peers: {} of cluster {} listens at {}:{}, the others reach it at {}:{}", self.core.members.me.name,
                     self.settings.cluster, *self.settings.listen, *self.settings.reached_at)  # fmt: skip
         self.pump.start()
--- a/yarrowspindle/transport/datagrams.py
+++ b/yarrowspindle/transport/datagrams.py
@@ -8,6 +8,7 @@
 
 from yarrowspindle.routing.messages import Address
 
+AGAIN_S = 1.0  # an address that is taken is tried again
 PENDING = 32  # datagrams kept until a path's socket is there
 
 
@@ -16,6 +17,19 @@
         self.came = came
         self.transport: asyncio.DatagramTransport | None = None
 
+    async def open(self, listen: Address, taken: Callable[[OSError], None]) -> None:
+        """Until the address can be had: the process before this one may still have it. taken: told once why not."""
+        said = False
+        while True:
+            try:
+                await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=listen)
+                return
+            except OSError as error:
+                if not said:
+                    taken(error)
+                said = True
+                await asyncio.sleep(AGAIN_S)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
