--- /dev/null
+++ b/tests/test_connecting.py
@@ -0,0 +1,113 @@
+"""A connection that comes up in the turn of the loop in which its time-out falls due, on real sockets and uvloop.
+
+Nothing may have been written on a connection that is reported as never reached: the request is repeated elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+import uvloop
+
+from tests.ports import free_port
+from tests.stand_ins import SETTINGS
+from yarrowspindle.program.config import read_config
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.line_front import LineFront
+from yarrowspindle.routing.messages import Reach
+from yarrowspindle.runtime import SystemClock
+
+CONNECT_MS = 60.0
+CHARGE = dict(SETTINGS["categories"][0]) | {"name": "charge", "effect": "side_effect"}
+SERVERS = 4
+
+
+class Backend:
+    """Keeps the first lines that it reads, and answers none."""
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        self.lines: list[bytes] = []
+
+    async def open(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        line = await reader.readline()
+        if line:
+            self.lines.append(line)
+
+
+def config(backends: list[Backend]) -> dict[str, Any]:
+    members = [
+        {"id": f"s-{n}", "host_port": f"127.0.0.1:{backend.port}", "phase": "ready", "size": 1.0}
+        for n, backend in enumerate(backends)
+    ]
+    settings = SETTINGS | {
+        "zone": 0,
+        "categories": [CHARGE],
+        "limits": SETTINGS["limits"] | {"connect_timeout_ms": CONNECT_MS, "probing": False},
+    }
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": f"127.0.0.1:{free_port()}",
+        "seed": "1",
+        "settings": settings,
+        "known": {"revision": 1, "members": members},
+    }
+
+
+def stall_after(turns: int) -> None:
+    """Holds the event loop for longer than the connect time-out, so many turns from now."""
+    loop = asyncio.get_running_loop()
+
+    def turn(left: int) -> None:
+        if left:
+            loop.call_soon(turn, left - 1)
+        else:
+            time.sleep(2.0 * CONNECT_MS / 1000.0)
+
+    turn(turns)
+
+
+async def first_lines_read(turns: int) -> list[bytes]:
+    """What backends read of one request whose first connection comes up after a stall."""
+    backends = [Backend() for _ in range(SERVERS)]
+    for backend in backends:
+        await backend.open()
+    hub = Hub(read_config(config(backends)), SystemClock())
+    hub.start()
+    front = LineFront(hub, 200).start()
+    hub.serving = True
+    reach = front.effects[Reach]
+    stalls = iter((turns,))
+
+    def reach_and_stall(effect: Reach) -> None:
+        reach(effect)
+        first = next(stalls, None)
+        if first is not None:
+            stall_after(first)
+
+    front.effects[Reach] = reach_and_stall
+    _, writer = await asyncio.open_connection(*hub.config.listen)
+    writer.write(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=charge,t=acme,d=900\r\n")
+    await asyncio.sleep(0.6)
+    writer.close()
+    for backend in backends:
+        backend.server.close()
+    front.listener.sock.close()
+    return [line for backend in backends for line in backend.lines]
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_request_that_may_run_once_is_written_once_though_its_connection_comes_up_as_its_time_is_over(
+    turns: int,
+) -> None:
+    async def body() -> None:
+        assert len(await first_lines_read(turns)) <= 1
+
+    uvloop.run(body())
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,90 @@
+"""What is still to be written when a side is finished reaches a peer that reads slowly, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+import uvloop
+
+from tests.ports import free_port
+from yarrowspindle.transport.side import Side
+
+LAST = b"MOVE\r\n"
+SEND_BUFFER, RECEIVE_BUFFER = 16 * 1024, 8 * 1024
+TURN_S = 0.05
+
+
+class Sender(Side):
+    """Writes all it has as soon as it is connected, and finishes."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__()
+        self.size = size
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self.write(b"x" * self.size)
+        self.finish(LAST)
+
+
+async def read_slowly(port: int, bytes_per_s: int, line_every_s: float = 0.0) -> bytes:
+    """Reads to the end; says a line now and then, where that is asked for, as clients do on a standing connection."""
+    loop = asyncio.get_running_loop()
+    reader = socket.socket()
+    reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    reader.setblocking(False)
+    await loop.sock_connect(reader, ("127.0.0.1", port))
+    found, said = b"", loop.time()
+    try:
+        while piece := await loop.sock_recv(reader, int(bytes_per_s * TURN_S)):
+            found += piece
+            if line_every_s and loop.time() >= said + line_every_s:
+                said = loop.time()
+                await loop.sock_sendall(reader, b"a line\r\n")
+            await asyncio.sleep(TURN_S)
+    except ConnectionError:
+        pass
+    finally:
+        reader.close()
+    return found
+
+
+@pytest.mark.parametrize("line_every_s", (0.0, 0.4))
+@pytest.mark.parametrize(("size", "bytes_per_s"), ((400_000, 400_000), (150_000, 60_000)))
+def test_the_last_line_reaches_a_slow_reader_behind_all_that_came_before_it(
+    size: int, bytes_per_s: int, line_every_s: float
+) -> None:
+    async def body() -> None:
+        port = free_port()
+        server = await asyncio.get_running_loop().create_server(lambda: Sender(size), "127.0.0.1", port)
+        found = await read_slowly(port, bytes_per_s, line_every_s)
+        assert (len(found), found[-len(LAST) :]) == (size + len(LAST), LAST)
+        server.close()
+
+    uvloop.run(body())
+
+
+def test_a_reader_that_reads_nothing_is_cut_off_within_bounds() -> None:
+    """However much is left for it: it must not hold its descriptor for good."""
+
+    async def body() -> None:
+        port, loop = free_port(), asyncio.get_running_loop()
+        sides: list[Sender] = []
+
+        def made() -> Sender:
+            sides.append(Sender(4_000_000))
+            return sides[-1]
+
+        server = await loop.create_server(made, "127.0.0.1", port)
+        reader = socket.create_connection(("127.0.0.1", port))
+        until = loop.time() + 6.0
+        while not sides or sides[0].alive:
+            assert loop.time() < until, "it is still held"
+            await asyncio.sleep(0.05)
+        reader.close()
+        server.close()
+
+    uvloop.run(body())
