Tell a connection as not made only where it never was; date restarts by the own clock; wait for slow readers

Cause: _connect laid a time limit round create_connection by cancelling it. In the turn in which both fall due the protocol was connected and wrote the request, and TimeoutError told the reducer that it was never reached, so that a request that may run once ran twice. _linger looked at nothing but 0.5 s. _list took up_since_ms as a time of the own clock. Ruled out: asking after the fact whether bytes were written (the transport flushes them when it is closed); catching up with the wall clock (which of two is right cannot be known from one of them). Change: transport/connecting.py, where whichever comes first decides, and a connection that comes up too late is closed before its protocol hears of it; ENETUNREACH, ENETDOWN, EPERM and errors that are none of the network are the own machine's.

--- a/tests/test_slow_start_clock.py
+++ b/tests/test_slow_start_clock.py
@@ -85,3 +85,11 @@
     relay.serve(2000.0)
     relay.restart("s-3", relay.now - COLD_MS, quiet_ms=COLD_MS + 1000.0)
     assert 0.75 < share_of(relay.serve(2000.0), "s-3") < 1.25
+
+
+def test_a_start_in_the_future_that_is_first_seen_in_a_list_does_not_keep_a_server_cold_for_an_hour() -> None:
+    relay = Relay()
+    relay.machines["s-3"] = Machine("s-3", ("127.0.0.1", 4), started_ms=relay.now + HOUR_MS)
+    relay.tell(ListKind.FULL, list(relay.machines), quiet_ms=None)
+    relay.serve(COLD_MS + 100.0)
+    assert 0.75 < share_of(relay.serve(2000.0), "s-3") < 1.25
--- a/yarrowspindle/library/placer.py
+++ b/yarrowspindle/library/placer.py
@@ -295,6 +295,8 @@
         self.jobs_most = self.settings.jobs_most if self.settings else 100_000
         self.runtime = Runtime(Reducer(self.core, self.seed, self.clock.now()), self.clock, self._log, timers)
         self.runtime.watch = self._ask
+        if isinstance(self.clock, SystemClock):
+            self.runtime.wall_step_ms = self.clock.wall_step_ms
         self.post: Callable[[Event], None] = self.runtime.post
         self.runtime.fronts.append(self)
         self.placements: dict[int, Placement] = {}
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -13,7 +13,7 @@
 from yarrowspindle.program.metrics import Metrics
 from yarrowspindle.routing.messages import Effect, Rebalance, Rejoin, Reloaded, Retune, Stop, TurnsTold, Watch
 from yarrowspindle.routing.reducer import Reducer
-from yarrowspindle.runtime import Clock, Runtime, Timers
+from yarrowspindle.runtime import Clock, Runtime, SystemClock, Timers
 from yarrowspindle.runtime.list_watch import ListWatch
 from yarrowspindle.runtime.prober import Prober
 from yarrowspindle.telemetry import Telemetry
@@ -36,6 +36,8 @@
         reducer = Reducer(config.settings, config.seed, clock.now(), config.discovery)
         self.runtime = Runtime(reducer, clock, log, timers)
         self.reducer, self.fronts = reducer, self.runtime.fronts
+        if isinstance(clock, SystemClock):
+            self.runtime.wall_step_ms = clock.wall_step_ms
         self.connected: list[Callable[[], set[str]]] = []  # execute nodes to which each front has connections
         self.shared: Mapping[str, str] = {}  # settings that control told, in place of the file's
         self.reloaded: list[Callable[[Operator], None]] = []  # who else takes up the operator's file
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +34,7 @@
     Requeue,
     SubmitterLeft,
 )
+from yarrowspindle.transport.connecting import ConnectFailure, Connecting
 from yarrowspindle.transport.listener import Listener
 from yarrowspindle.transport.node import NodeSide
 from yarrowspindle.transport.submitter import Submitter
@@ -42,8 +42,6 @@
 BACKLOG = 1024
 TURN_S = 0.001
 READ_S = 0.02  # a few turns of the loop, each of which reads all sockets
-# Failures of this machine, which say nothing of an execute node.
-OWN_FAILURES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
 
 class LineFront:
@@ -55,7 +53,7 @@
         self.submitters: dict[int, Submitter] = {}
         self.opened: dict[int, Open] = {}  # lines of jobs that may still be sent on
         self.nodes: dict[int, NodeSide] = {}  # of each job's attempt that is out, or its standing connection
-        self.reaching: dict[int, asyncio.Task[None]] = {}
+        self.reaching: dict[int, Connecting] = {}
         self.effects: dict[type, Callable[[Any], None]] = {
             Reach: self._reach, Ask: self._ask, Drop: self._drop, Join: self._join, Requeue: self._requeue,
             Deny: self._deny, Move: self._move, Close: self._close,
@@ -145,6 +143,9 @@
         return {side.node for side in self.door.held if isinstance(side, NodeSide)}
 
     def node_reached(self, side: NodeSide) -> None:
+        connecting = self.reaching.pop(side.job, None)
+        if connecting is not None:
+            connecting.done()
         self.hub.post(NodeReached(side.job, side.attempt))
 
     def node_up(self, side: NodeSide) -> None:
@@ -170,22 +171,17 @@
         side = NodeSide(self, effect.job, effect.attempt, effect.node)
         self.nodes[effect.job] = side
         self.door.reached_for(side)
-        self.reaching[effect.job] = self.loop.create_task(self._connect(side, effect))
+        connecting = Connecting(side, effect.address, lambda failure: self._unreached(side, failure))
+        self.reaching[effect.job] = connecting
+        connecting.start(effect.within_ms / 1000.0)
 
-    async def _connect(self, side: NodeSide, effect: Reach) -> None:
-        host, port = effect.address
-        try:
-            await asyncio.wait_for(self.loop.create_connection(lambda: side, host, port), effect.within_ms / 1000.0)
-        except OSError as error:
-            side.closing = True
-            if not side.told:
-                side.told = True
-                self.node_over(side, Ending.NEVER_SENT if error.errno in OWN_FAILURES else Ending.UNREACHED)
-        finally:
-            if side.transport is None:
-                self.door.lost(side)
-            if self.reaching.get(effect.job) is asyncio.current_task():
-                del self.reaching[effect.job]
+    def _unreached(self, side: NodeSide, failure: ConnectFailure) -> None:
+        """The attempt's connection did not come up, and never will: nothing was written on it."""
+        self.reaching.pop(side.job, None)
+        self.door.lost(side)
+        if failure.unexpected:
+            self.bad_line(f"a connection to execute node {side.node} failed: {failure.error!r}")
+        side.unreached(Ending.NEVER_SENT if failure.own else Ending.UNREACHED)
 
     def _ask(self, effect: Ask) -> None:
         side, opened = self.nodes.get(effect.job), self.opened.get(effect.job)
@@ -196,11 +192,9 @@
         side = self.nodes.pop(effect.job, None)
         if side is not None:
             side.drop()
-            if side.transport is None:  # its task may be cancelled before it has begun
-                self.door.lost(side)
-        task = self.reaching.pop(effect.job, None)
-        if task is not None:
-            task.cancel()
+        connecting = self.reaching.pop(effect.job, None)
+        if connecting is not None and side is not None and connecting.cancel():
+            self.door.lost(side)
 
     # --- effects on submitters ------------------------------------------------------------------
 
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -163,6 +163,13 @@
     for_ms: float
 
 
+@dataclass(slots=True)
+class ClockStepped:
+    """This machine's wall clock was set to another time while the process ran."""
+
+    by_ms: float
+
+
 @dataclass(slots=True)
 class Rebalance:
     """Standing jobs are to be moved towards balance from now on, or with other settings, or no longer (None)."""
@@ -215,6 +222,7 @@
     | Reloaded
     | Rebalance
     | Stalled
+    | ClockStepped
     | OthersTold
     | TurnsTold
 )
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -22,6 +22,7 @@
     Ask,
     Asked,
     AttemptOver,
+    ClockStepped,
     Close,
     Deny,
     Drop,
@@ -56,6 +57,7 @@
     Watch,
     Woke,
 )
+from yarrowspindle.routing.start_times import StartTimes
 from yarrowspindle.routing.state import Job, Node, Phase
 
 if TYPE_CHECKING:
@@ -97,6 +99,7 @@
         self.nodes: dict[str, Node] = {}
         self.numbers: dict[int, Node] = {}
         self.version = 0
+        self.starts = StartTimes()
         self.stalled_at = 0.0  # until when this process stood still of late
         self.stop_at = 0.0  # when all must be over; 0: no stop
         self.exits = True  # whether the process ends after the stop, or outlives it (a drain)
@@ -112,6 +115,7 @@
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
             Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
             Retune: self._retune, ProbeOver: self._probe_over,
+            ClockStepped: lambda event: self.starts.stepped(),
             OthersTold: lambda event: self._tell(event.others), TurnsTold: self._turns_told,
         }  # fmt: skip
 
@@ -438,7 +442,8 @@
             touched.setdefault(m.name, node.state)
             node.address, node.listed = m.address, m
             node.state = State.DRAINING if m.state is State.READY and self._kept_off(m.name) else m.state
-            before, node.started = node.started, max(m.started_ms, node.cold_from)
+            node.start = self.starts.dated(m.name, m.started_ms, node.start, self.now, event.quiet_ms)
+            before, node.started = node.started, max(node.start.began_ms, node.cold_from)
             node.capacity = m.capacity
             if node.started != before:
                 renewed.add(m.name)
@@ -512,6 +517,8 @@
     def _forget(self, node: Node) -> None:
         if node.state is State.GONE and not node.jobs and self.nodes.get(node.name) is node:
             del self.nodes[node.name], self.numbers[node.number]
+            if node.start is not None:
+                self.starts.gone(node.name, node.start, self.now)
 
     def _retune(self, event: Retune) -> None:
         """New jobs are judged by the new settings; those under way keep their class, whose entry stays."""
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -9,6 +9,7 @@
 from yarrowspindle.interface import Adopted, State
 from yarrowspindle.routing.figures import Figures
 from yarrowspindle.routing.messages import JobArrived, Machine
+from yarrowspindle.routing.start_times import Start
 
 
 class Phase(Enum):
@@ -78,7 +79,7 @@
 
 class Node:
     __slots__ = ("name", "number", "address", "state", "slow", "told_at", "took", "heard", "jobs", "capacity",
-                 "started", "figures", "listed", "cold_from")  # fmt: skip
+                 "started", "figures", "listed", "cold_from", "start")  # fmt: skip
 
     def __init__(self, name: str, number: int, slow_ms: float = 0.0) -> None:
         self.name, self.number = name, number
@@ -93,3 +94,4 @@
         self.jobs: set[int] = set()  # attempts out and standing connections
         self.listed: Machine | None = None  # as the machine list has it, whatever the relays agreed on
         self.cold_from = 0.0  # when it came back from work; 0: it was not out
+        self.start: Start | None = None  # its process's, as last listed
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from math import inf
 
 from yarrowspindle.interface import ListKind
 from yarrowspindle.protocol.machines import Names
@@ -22,6 +23,8 @@
         self.watching: asyncio.Task[None] | None = None
         self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
         self.closed = False
+        self.heard_at: float | None = None  # when discovery, at the address below, last said anything after a list
+        self.heard_from: Address | None = None
         self.version = 0  # the newest that was told since `ask` last wanted the whole list
         self.older = False  # the last watch was ended because its whole list was older than that
 
@@ -61,6 +64,17 @@
 
     # --- reports of the transport ---------------------------------------------------------------
 
+    def watch_heard(self, watch: WatchSide) -> None:
+        """Whatever it was: what it told so far stands."""
+        if watch is self.watch or (watch is self.former and watch.address == self.watch_at):
+            self.heard_at, self.heard_from = asyncio.get_running_loop().time(), watch.address
+
+    def _quiet_ms(self, watch: WatchSide) -> float:
+        """How long ago this service was last heard."""
+        if self.heard_at is None or self.heard_from != watch.address:
+            return inf
+        return (asyncio.get_running_loop().time() - self.heard_at) * 1000.0
+
     def list_told(self, watch: WatchSide, told: ListTold) -> None:
         """Word that is older than what is known would undo drains. A whole list like that is asked for once more, and
         believed then: the service may count anew."""
@@ -79,6 +93,7 @@
         if watch is self.former and watch.address != self.watch_at:
             told = replace(told, version=self.version)  # another service counts in another way: no place to go on from
         if watch in (self.watch, self.former):
+            told.quiet_ms = self._quiet_ms(watch)
             self.told(told)
 
     def watch_over(self, watch: WatchSide, why: str) -> None:
--- a/yarrowspindle/runtime/runtime.py
+++ b/yarrowspindle/runtime/runtime.py
@@ -7,11 +7,24 @@
 from math import inf
 from typing import Any, Protocol
 
-from yarrowspindle.routing.messages import Effect, Event, NodeGone, Note, Probe, Stalled, Unwake, Wake, Watch, Woke
+from yarrowspindle.routing.messages import (
+    ClockStepped,
+    Effect,
+    Event,
+    NodeGone,
+    Note,
+    Probe,
+    Stalled,
+    Unwake,
+    Wake,
+    Watch,
+    Woke,
+)
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.runtime.timers import Clock, Timers
 
 TICK, TICK_MS = "tick", 100.0
+STEP_LEAST_MS = 50.0  # a smaller change of the wall clock is its ordinary correction
 LATE_MS = TICK_MS + 150.0  # a tick that is so late: the loop stood still
 
 
@@ -56,6 +69,8 @@
         }
         self.counts: Counter[str] = Counter()
         self.ticked = 0.0
+        self.wall_step_ms: Callable[[], float] = lambda: 0.0  # of the wall clock since the start
+        self.wall_stepped_ms = 0.0  # of that, what the reducer was told
         self.late_at = inf  # when a tick is so late that the loop stood still; inf: stalls are not looked for
 
     def start(self) -> None:
@@ -141,6 +156,12 @@
         self.ticked = self.clock.now()
         self.late_at = self.ticked + LATE_MS
         self.timers.set(TICK_MS, TICK)
+        step = self.wall_step_ms() - self.wall_stepped_ms
+        if abs(step) >= STEP_LEAST_MS:
+            self.wall_stepped_ms += step
+            self.counts["clock_steps"] += 1
+            self.log("warning", f"the wall clock was stepped by {step:.0f} ms")
+            self._run(ClockStepped(step))
 
     def _stalled(self) -> None:
         """The loop may have stood still from the last tick on: nobody knows better."""
--- a/yarrowspindle/runtime/timers.py
+++ b/yarrowspindle/runtime/timers.py
@@ -22,6 +22,10 @@
     def now(self) -> float:
         return (time.monotonic() + self.offset) * 1000.0
 
+    def wall_step_ms(self) -> float:
+        """By how much the wall clock was set forward (or back, below 0) since the start of this clock."""
+        return (time.time() - time.monotonic() - self.offset) * 1000.0
+
 
 class Timers:
     """What falls due, ordered by (time due, order of setting).
--- /dev/null
+++ b/yarrowspindle/transport/connecting.py
@@ -0,0 +1,141 @@
+"""Opens one outgoing connection within a time, such that "it did not come up" is told only where it is true.
+
+A time limit laid round `create_connection` by cancelling it can fall due in the turn of the event loop in which the
+connection comes up: the protocol has then written on a connection that its owner hears was never made. Here whichever
+of the two comes first decides: once the time is up, or the attempt is cancelled, a connection that still comes up is
+closed before the protocol hears of it; once the protocol was connected, the time limit means nothing any more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import cast
+
+from yarrowspindle.routing.messages import Address
+
+# Failures of this machine or of its own network, which say nothing of the other end.
+OWN_FAILURES = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+        errno.ENETUNREACH,
+        errno.ENETDOWN,
+        errno.EPERM,
+        errno.EACCES,
+        errno.EINTR,
+        errno.EAGAIN,
+    )
+)
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectFailure:
+    """Why a connection did not come up. error: None where its time was over."""
+
+    error: BaseException | None = None
+
+    @property
+    def own(self) -> bool:
+        """Whether it says nothing of the other end."""
+        return self.error is not None and (self.unexpected or getattr(self.error, "errno", None) in OWN_FAILURES)
+
+    @property
+    def unexpected(self) -> bool:
+        """An error that is no error of the network."""
+        return self.error is not None and not isinstance(self.error, OSError)
+
+    def __str__(self) -> str:
+        return "no connection in time" if self.error is None else f"no connection: {self.error!r}"
+
+
+class State(Enum):
+    """Of one attempt to connect."""
+
+    PENDING = auto()
+    UP = auto()
+    OVER = auto()
+
+
+class Guarded(asyncio.Protocol):
+    """Stands before the protocol until the connection is up; one that comes too late it closes without a byte."""
+
+    def __init__(self, connecting: Connecting) -> None:
+        self.connecting = connecting
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        stream = cast(asyncio.Transport, transport)
+        if self.connecting.state is State.OVER:
+            stream.abort()
+            return
+        self.connecting.done()
+        protocol = self.connecting.protocol
+        stream.set_protocol(protocol)
+        protocol.connection_made(transport)
+
+
+class Connecting:
+    """One attempt to connect `protocol` to an address (host, port).
+
+    failed: called once, with the reason, where the connection did not come up; never after `cancel`, nor once the
+    protocol was connected.
+    """
+
+    def __init__(self, protocol: asyncio.Protocol, address: Address, failed: Callable[[ConnectFailure], None]) -> None:
+        self.protocol, self.address, self.failed = protocol, address, failed
+        self.state = State.PENDING
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self, within_s: float | None = None) -> None:
+        """within_s: seconds from now; without it only the system's own limits count."""
+        loop = asyncio.get_running_loop()
+        if within_s is not None:
+            self.timer = loop.call_later(max(within_s, 0.0), self._late)
+        self.task = loop.create_task(self._connect(loop))
+
+    def done(self) -> None:
+        """The protocol is connected: no time limit counts any more."""
+        if self.state is State.PENDING:
+            self.state = State.UP
+        self._stop_timer()
+
+    def cancel(self) -> bool:
+        """Gives the attempt up; whether it was still pending."""
+        pending = self.state is State.PENDING
+        self._end()
+        return pending
+
+    async def _connect(self, loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            await loop.create_connection(lambda: Guarded(self), *self.address)
+        except Exception as error:  # whatever it is, whoever waits for the connection must hear of it
+            if self.state is State.PENDING:
+                self._fail(ConnectFailure(error))
+
+    def _late(self) -> None:
+        if self.state is State.PENDING:
+            self._fail(ConnectFailure())
+
+    def _fail(self, failure: ConnectFailure) -> None:
+        self._end()
+        self.failed(failure)
+
+    def _end(self) -> None:
+        self._stop_timer()
+        if self.state is not State.PENDING:
+            return
+        self.state = State.OVER
+        if self.task is not None and self.task is not asyncio.current_task():
+            self.task.cancel()
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- a/yarrowspindle/transport/machine_list.py
+++ b/yarrowspindle/transport/machine_list.py
@@ -15,6 +15,7 @@
 
 class WatchSink(Protocol):
     def list_told(self, watch: WatchSide, told: ListTold) -> None: ...
+    def watch_heard(self, watch: WatchSide) -> None: ...
     def watch_over(self, watch: WatchSide, why: str) -> None: ...
 
 
@@ -53,6 +54,8 @@
         except ListError as error:
             self.end(str(error))
             return
+        if self.told:
+            self.sink.watch_heard(self)
         if self.answer.ended:
             self.end("the watch ended")
         elif self.told and not self.over:  # an empty line is no answer to the call
--- a/yarrowspindle/transport/node.py
+++ b/yarrowspindle/transport/node.py
@@ -140,6 +140,13 @@
         self.told = True
         self.finish()
 
+    def unreached(self, ending: Ending) -> None:
+        """Its connection has not come up; one that does all the same is closed without a byte."""
+        self.closing = True
+        if not self.told:
+            self.told = True
+            self.sink.node_over(self, ending)
+
     def drop(self) -> None:
         """The attempt is given up: end the connection, and say nothing more of it."""
         self.told = True
--- a/yarrowspindle/transport/side.py
+++ b/yarrowspindle/transport/side.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any, cast
 
 GRACE_S = 0.5  # after our end of sending, for the peer to end as well, if it sends nothing more
 THROWN_S = 5.0  # for a peer that goes on sending: it reads our last line once it has sent all
 THROWN_MOST = 256 << 20
+STUCK_S = 2.0  # a peer that takes none of what is still to be sent for so long is waited for no longer
+TAIL_S = 60.0  # nor is one that reads ever so slowly, after so long
+INT = struct.Struct("@i")
 
 
 class Side(asyncio.Protocol):
@@ -18,6 +24,8 @@
         self.closing = False
         self.thrown = 0  # bytes that came after our end
         self.late: asyncio.TimerHandle | None = None
+        self.finished_at = self.read_at = 0.0  # when we ended our sending, and when the peer was last seen to read
+        self.unsent_seen = -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -58,16 +66,39 @@
         if transport.can_write_eof():
             transport.write_eof()
         loop = asyncio.get_running_loop()
-        self.late = loop.call_later(GRACE_S, self._linger, self.thrown, loop.time() + THROWN_S)
+        self.finished_at = self.read_at = loop.time()
+        self.late = loop.call_later(GRACE_S, self._linger, self.thrown, self.finished_at + THROWN_S)
 
     def _linger(self, thrown: int, until: float) -> None:
-        """A peer with much to send is heard out, within bounds; a reset could take our last line from it."""
-        loop = asyncio.get_running_loop()
-        if thrown < self.thrown < THROWN_MOST and loop.time() < until:
+        """A peer with much to send is heard out, within bounds; a reset could take our last line from it. One that
+        reads slowly is waited for while it goes on reading."""
+        loop, now = asyncio.get_running_loop(), asyncio.get_running_loop().time()
+        unsent = self.unsent()
+        if unsent != self.unsent_seen:
+            self.unsent_seen, self.read_at = unsent, now
+        reads = unsent > 0 and now < min(self.read_at + STUCK_S, self.finished_at + TAIL_S)
+        if reads:
+            until = now + THROWN_S
+        if reads or (thrown < self.thrown < THROWN_MOST and now < until):
             self.late = loop.call_later(GRACE_S, self._linger, self.thrown, until)
         else:
             self.abort()
 
+    def unsent(self) -> int:
+        """Bytes that the peer has not taken yet: those of the transport, and those in the system's send buffer."""
+        transport = self.alive
+        if transport is None:
+            return 0
+        waiting = transport.get_write_buffer_size()
+        sock: Any = transport.get_extra_info("socket")
+        if sock is None:
+            return waiting
+        try:
+            (queued,) = INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))
+        except OSError:
+            return waiting
+        return waiting + int(queued)
+
     def abort(self) -> None:
         self.closing = True
         self.other = None
