--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import inf
 from typing import TYPE_CHECKING
 
 from yarrowspindle.interface import ListKind, Others, Settings, State
@@ -114,12 +113,12 @@
 @dataclass(slots=True)
 class ListTold:
     """quiet_ms: how long ago discovery was last heard before this, so that what it tells as changed has changed since
-    then; infinite for the first list."""
+    then; None where it was not heard before."""
 
     kind: ListKind
     machines: list[Machine] = field(default_factory=list)
     version: int = 0
-    quiet_ms: float = inf
+    quiet_ms: float | None = None
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/routing/start_times.py
+++ b/yarrowspindle/routing/start_times.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from math import inf
 
 AHEAD_MS = 50.0  # a start told so far in the future is the slack of clocks; beyond it they do not agree
 REMEMBERED_MOST = 4096  # servers that went and may return under a new start
@@ -37,10 +38,10 @@
         self.agree = True
         self.departed: OrderedDict[str, Departure] = OrderedDict()
 
-    def dated(self, server: str, told_ms: float, known: Start | None, now: float, quiet_ms: float) -> Start:
+    def dated(self, server: str, told_ms: float, known: Start | None, now: float, quiet_ms: float | None) -> Start:
         """known: the server's start so far, None where it is not listed. quiet_ms: how long ago discovery was last
-        heard before it told this."""
-        earliest = now - quiet_ms
+        heard before it told this, None where it was not."""
+        earliest = -inf if quiet_ms is None else now - quiet_ms
         if known is None and (departure := self.departed.pop(server, None)) is not None:
             known, earliest = departure.start, departure.at_ms
         if known is not None and told_ms == known.told_ms:
@@ -50,8 +51,8 @@
         if told_ms > now + AHEAD_MS:
             self.agree = False
         if known is None:
-            first_list = quiet_ms == float("inf")
-            return Start(told_ms, min(told_ms, now) if self.agree or first_list else now)
+            believed = self.agree or quiet_ms is None
+            return Start(told_ms, min(told_ms, now) if believed else now)
         plausible = self.agree and earliest <= told_ms <= now
         return Start(told_ms, told_ms if plausible else now)
 
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
-from math import inf
 
 from yarrowspindle.interface import ListKind
 from yarrowspindle.protocol.machines import Names
@@ -69,10 +68,10 @@
         if watch is self.watch or (watch is self.former and watch.address == self.watch_at):
             self.heard_at, self.heard_from = asyncio.get_running_loop().time(), watch.address
 
-    def _quiet_ms(self, watch: WatchSide) -> float:
-        """How long ago this service was last heard."""
+    def _quiet_ms(self, watch: WatchSide) -> float | None:
+        """How long ago this service was last heard; None: it was not."""
         if self.heard_at is None or self.heard_from != watch.address:
-            return inf
+            return None
         return (asyncio.get_running_loop().time() - self.heard_at) * 1000.0
 
     def list_told(self, watch: WatchSide, told: ListTold) -> None:
