--- /dev/null
+++ b/tests/test_failing_steps.py
@@ -0,0 +1,146 @@
+"""A step of the program that fails leaves nobody without an answer, and no task that ends unseen."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from tests.test_connecting import Backend, config
+from yarrowspindle.interface import ListKind
+from yarrowspindle.program.config import read_config
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.line_front import LineFront
+from yarrowspindle.program.log import log_to
+from yarrowspindle.protocol.machines import Names
+from yarrowspindle.routing.ending import Ending
+from yarrowspindle.routing.messages import Ask, Event, JobArrived, ListTold, NodeReached, Probe, ProbeOver, Reach, Wake
+from yarrowspindle.runtime import SystemClock
+from yarrowspindle.runtime.list_watch import ListWatch
+from yarrowspindle.runtime.prober import Prober
+
+DEADLINE_S = 0.9
+WHERE_FAILS: dict[str, Callable[[Hub, LineFront], None]] = {
+    "the decision on a request": lambda hub, front: fail_in_reducer(hub, JobArrived),
+    "the step of a connection that came up": lambda hub, front: fail_in_reducer(hub, NodeReached),
+    "opening the connection": lambda hub, front: fail_effect(front, Reach),
+    "writing the request": lambda hub, front: fail_effect(front, Ask),
+    "setting the deadline": lambda hub, front: fail_deadlines(hub),
+}
+
+
+class Planted(Exception):
+    """The fault of a test."""
+
+
+def fail(*_: Any) -> None:
+    raise Planted
+
+
+def fail_in_reducer(hub: Hub, event: type[Event]) -> None:
+    """After the reducer has done half of its step: the module fails."""
+    handle = hub.reducer.balancer.handle
+    step = hub.reducer.step
+
+    def failing(now: float, told: Any) -> Any:
+        handle(now, told)
+        raise Planted
+
+    def stepped(now: float, told: Event) -> Any:
+        if type(told) is not event:
+            return step(now, told)
+        if event is NodeReached:
+            raise Planted
+        hub.reducer.balancer.handle = failing  # type: ignore[method-assign]
+        try:
+            return step(now, told)
+        finally:
+            hub.reducer.balancer.handle = handle  # type: ignore[method-assign]
+
+    hub.reducer.step = stepped  # type: ignore[method-assign]
+
+
+def fail_effect(front: LineFront, effect: type) -> None:
+    front.effects[effect] = fail
+
+
+def fail_deadlines(hub: Hub) -> None:
+    wake = hub.runtime.handlers[Wake]
+
+    def failing(effect: Wake) -> None:
+        if isinstance(effect.what, tuple) and effect.what[0] == "deadline":
+            raise Planted
+        wake(effect)
+
+    hub.runtime.handlers[Wake] = failing
+
+
+@pytest.mark.parametrize("where", WHERE_FAILS)
+def test_a_request_whose_step_fails_gets_its_one_final_answer_within_its_time(where: str) -> None:
+    async def body() -> None:
+        backends = [Backend() for _ in range(3)]
+        for backend in backends:
+            await backend.open()
+        hub = Hub(read_config(config(backends)), SystemClock())
+        hub.start()
+        front = LineFront(hub, 200).start()
+        hub.serving = True
+        WHERE_FAILS[where](hub, front)
+        reader, writer = await asyncio.open_connection(*hub.config.listen)
+        writer.write(f"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=charge,t=acme,d={1000 * DEADLINE_S:.0f}\r\n".encode())
+        answer = await asyncio.wait_for(reader.read(), DEADLINE_S + 0.5)
+        assert answer.split()[0] in (b"ERR", b"BUSY") and answer.count(b"\r\n") == 1
+        assert not front.nodes and not front.reaching and not hub.reducer.jobs, "nothing is kept of it"
+        assert not hub.runtime.owners
+
+    uvloop.run(body())
+
+
+@pytest.fixture(autouse=True)
+def plain_log() -> None:
+    """As the daemon sets it up: no annotated tracebacks, which parse the program's source at the depth of the fault."""
+    log_to("INFO")
+
+
+NOWHERE = ("a..b", 3000)  # a host that no encoding of names knows: UnicodeError, which is no OSError
+
+
+async def watch_ends() -> None:
+    told: list[ListTold] = []
+    watch = ListWatch(Names(), told.append, lambda why: None)
+    watch.ask(0, NOWHERE)
+    await asyncio.sleep(0.3)
+    assert [list_told.kind for list_told in told] == [ListKind.FAILED]
+    watch.close()
+
+
+async def probe_ends() -> None:
+    over: list[ProbeOver] = []
+    prober = Prober(("x0",), 10.0, over.append, lambda text: None)
+    prober.probe(Probe("s-1", NOWHERE, 500.0))
+    await asyncio.sleep(0.2)
+    assert len(over) == 1 and over[0].ending in (Ending.NEVER_SENT, Ending.UNREACHED)
+    prober.close()
+
+
+async def attempt_ends() -> None:
+    told = config([Backend()])
+    told["known"]["members"][0]["host_port"] = "{}:{}".format(*NOWHERE)
+    hub = Hub(read_config(told), SystemClock())
+    hub.start()
+    front = LineFront(hub, 200).start()
+    hub.serving = True
+    reader, writer = await asyncio.open_connection(*hub.config.listen)
+    writer.write(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=charge,t=acme,d=900\r\n")
+    assert (await asyncio.wait_for(reader.read(), 1.5)).split()[0] == b"BUSY"
+    assert not front.reaching and not hub.reducer.jobs
+
+
+@pytest.mark.parametrize("ends", (watch_ends, probe_ends, attempt_ends))
+def test_an_address_that_makes_no_sense_ends_what_uses_it_at_once(
+    ends: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    uvloop.run(ends())
--- a/yarrowspindle/program/log.py
+++ b/yarrowspindle/program/log.py
@@ -12,7 +12,8 @@
 
 def log_to(level: str) -> None:
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False)
+    # diagnose: annotated tracebacks show the values of variables, clients' keys among them.
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False, diagnose=False)
 
 
 class Bounded:
