Answer whoever a failing step leaves, tell any failed connection, wait for a file that cannot be read

Cause: runtime.py went on after a failed step or effect without asking whose answer hung on it; list_watch.py and prober.py caught OSError alone; load took an EIO of a moment for a lost file, after which a voter's good file was put aside and one made that has promised nothing. Ruled out: catching at each place (the next one would be forgotten); for store, that a failed sync of the folder breaks agreement (what the disk may hold was never said, as if its answer were lost; the docstring says so). Change: StepFailed answers the client and ends the attempt, the module is told last; the beat of a stop is set before its moves; Connecting serves watch, prober and Graphite's receiver too; load raises OSError, whom turns and controllers wait for and relays ask again for 1 s.

--- a/yarrowspindle/program/control.py
+++ b/yarrowspindle/program/control.py
@@ -34,6 +34,7 @@
 FLUSH_S = 0.02
 SAID_S, SAID_MOST = 60.0, 1024  # one and the same warning is said once in this time
 KEPT = "taken"
+READS, READ_AGAIN_S = 20, 0.05  # of a kept file at the start, before anybody is served
 
 
 def some_number() -> int:
@@ -209,7 +210,7 @@
         if settings.directory:
             self.file = KeptFile(settings.directory, self.name, settings.cluster, KEPT, TAKEN)
             try:
-                kept = self.file.load()
+                kept = self._loaded(self.file)
                 version, entries = kept.version, dict(kept.entries)
             except NoFile as why:
                 logger.log("WARNING" if self.file.path.exists() else "INFO",
@@ -220,6 +221,20 @@
         hub.metrics.sources["control"] = self.counters
         hub.metrics.more_gauges.append(self.gauges)
 
+    @staticmethod
+    def _loaded(file: KeptFile[Keep]) -> Keep:
+        """Tried again for a moment where the disk cannot be read: what was taken is to be served from the first
+        request on. After that a controller tells it. Raises NoFile."""
+        for _ in range(READS - 1):
+            try:
+                return file.load()
+            except OSError:
+                time.sleep(READ_AGAIN_S)
+        try:
+            return file.load()
+        except OSError as error:
+            raise NoFile(f"it cannot be read: {error}") from error
+
     def start(self) -> None:
         """What was kept is served from the first job on."""
         self.carry_out(self.core.take_effects())
--- a/yarrowspindle/program/controller.py
+++ b/yarrowspindle/program/controller.py
@@ -22,7 +22,7 @@
 from yarrowspindle.program.config import ConfigError, Operator
 from yarrowspindle.program.control import Endpoint, some_number
 from yarrowspindle.program.control_settings import check
-from yarrowspindle.program.kept_file import FIRST, KeptFile, NoFile, VoterFile
+from yarrowspindle.program.kept_file import FIRST, K, KeptFile, NoFile, VoterFile
 from yarrowspindle.program.metrics import report
 from yarrowspindle.turns.register import Kept, Voter
 
@@ -44,36 +44,65 @@
     return VoterFile(settings.directory, settings.me.name, settings.cluster, codec.FILE)
 
 
+class Files:
+    """A controller's files, under the one lock of its folder, and what they held at the start."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.voter = file_of(settings)
+        self.agreed = KeptFile(settings.directory, settings.me.name, settings.cluster, AGREED, codec.AGREED)
+        self.kept: Kept[ControlState] | None = None
+        self.state: ControlState | None = None
+        self.unusable: dict[KeptFile[Any], NoFile] = {}
+
+    def not_yet(self) -> str:
+        """Why they cannot be used yet: another process has them, or the disk cannot be read just now; empty: they
+        are loaded. A file that is missing or of no use is no reason to wait."""
+        if why := self.voter.unlocked():
+            return why
+        self.agreed.lock = self.voter.lock  # it is this process that has it
+        try:
+            self.kept, self.state = self._loaded(self.voter), self._loaded(self.agreed)
+        except OSError as error:
+            return f"what is kept in {self.voter.folder} cannot be read just now: {error}"
+        return ""
+
+    def _loaded(self, file: KeptFile[K]) -> K | None:
+        try:
+            return file.load()
+        except NoFile as why:
+            self.unusable[file] = why
+            return None
+
+
 class ControllerEndpoint(Endpoint):
     core: Controller
 
-    def __init__(self, settings: ControlSettings, file: VoterFile[ControlState]) -> None:
+    def __init__(self, settings: ControlSettings, files: Files) -> None:
         super().__init__(settings, settings.me.name)
-        self.file, self.first = file, first_state(settings)
+        self.file, self.agreed, self.first = files.voter, files.agreed, first_state(settings)
         self.voter: Voter[ControlState] | None = None
         self.votes = 0
         self.said_version = 0
         self.answers: OrderedDict[int, Answer | None] = OrderedDict()  # None: not settled yet
         self.ticket = some_number()
         self.api: OperatorApi | None = None
-        self.agreed = KeptFile(settings.directory, self.name, settings.cluster, AGREED, codec.AGREED)
-        self.agreed.lock = file.lock  # it is this process that has it
-        agreed = self.first
-        try:
-            agreed = self.agreed.load()
-        except NoFile as why:
-            if self.agreed.path.exists():
-                logger.warning("control: {} cannot be used: {}; what was agreed on is told once a majority of the "
-                               "voters was heard", self.agreed.path, why)  # fmt: skip
-        kept = None
-        try:
-            kept = file.load()
+        agreed, kept = files.state or self.first, files.kept
+        if files.state is None and self.agreed.path.exists():
+            logger.warning(
+                "control: {} cannot be used: {}; what was agreed on is told once a majority of the voters was heard",
+                self.agreed.path,
+                files.unusable[self.agreed],
+            )
+        if kept is not None:
             self._vote_with(kept)
-        except NoFile as why:
-            if settings.me.voter:
-                logger.warning("control: no voter's file in {}: {}; this controller has no voice until the others have "
-                               "taken it in (`control init` makes the first files of all, and is never used after a "
-                               "loss)", settings.directory, why)  # fmt: skip
+        elif settings.me.voter:
+            logger.warning(
+                "control: no voter's file in {}: {}; this controller has no voice until the others have "
+                "taken it in (`control init` makes the first files of all, and is never used after a "
+                "loss)",
+                settings.directory,
+                files.unusable[self.file],
+            )
         self.core = Controller(settings.me, settings.machines, agreed, kept.identity if kept else "",
                                kept.state if kept else self.first, self.life, check, some_number(),
                                self._now())  # fmt: skip
@@ -217,8 +246,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, logger.info, "a controller reads nothing again: restart it")
-    file, said = file_of(settings), ""
-    while why := file.unlocked():
+    files, said = Files(settings), ""
+    while why := files.not_yet():
         if why != said:
             logger.warning("control: {}: this controller waits", why)
         said = why
@@ -227,7 +256,7 @@
             return
         except TimeoutError:
             pass
-    endpoint = ControllerEndpoint(settings, file)
+    endpoint = ControllerEndpoint(settings, files)
     await endpoint.start()
     reporting = None
     if operator.metrics is not None:
--- a/yarrowspindle/program/kept_file.py
+++ b/yarrowspindle/program/kept_file.py
@@ -59,13 +59,13 @@
         return "" if taken else f"another process has the lock in {self.folder}, until it has ended"
 
     def load(self) -> K:
+        """Raises NoFile where there is none or what is there is of no use, OSError where it cannot be read just now:
+        that says nothing of what is there, and it is to be read again."""
         try:
-            with open(self.path, "rb") as file:
+            with self.path.open("rb") as file:
                 data = file.read(FILE_MOST + 1)
         except FileNotFoundError:
             raise NoFile("there is none") from None
-        except OSError as error:
-            raise NoFile(f"it cannot be read: {error}") from error
         try:
             if len(data) > FILE_MOST:
                 raise BadMessage("it is too long")
@@ -74,7 +74,9 @@
             raise NoFile(str(why)) from None
 
     def store(self, kept: K) -> None:
-        """Raises OSError where any step fails: then what was there before stands."""
+        """Raises OSError where any step fails. Then what was there before stands or, where only the folder's sync
+        failed, the new content may: after a crash either is found, whole. Nothing may be said that rests on the new
+        one; a voter's unsaid promise, found after a restart, is one whose answer was lost."""
         data = self.codec.encode(kept, self.owner, self.cluster)
         beside = self.path.with_name(f"{self.path.name}.new")
         file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
--- a/yarrowspindle/program/turning.py
+++ b/yarrowspindle/program/turning.py
@@ -111,7 +111,7 @@
             said = why
             await asyncio.sleep(LOCK_S)
         try:
-            self._vote_with(self.file.load())
+            self._vote_with(await self._loaded())
             self.core.proposer.guide = max(self.first, self.voter.kept.state if self.voter else self.first,
                                            key=lambda state: state.epoch)  # fmt: skip
         except NoFile as why:
@@ -125,6 +125,18 @@
             emptying = any(out.stage == EMPTYING for out in self.core.taken.out.values())
             await asyncio.sleep(HOLDS_S if emptying else LOOK_S)
 
+    async def _loaded(self) -> Kept[TurnState]:
+        """Raises NoFile. A disk that cannot be read just now is waited for: what stands there is still owed."""
+        said = ""
+        while True:
+            try:
+                return self.file.load()
+            except OSError as error:
+                if (why := str(error)) != said:
+                    logger.warning("turns: the voter's file cannot be read just now: {}: nothing is placed", why)
+                said = why
+            await asyncio.sleep(LOCK_S)
+
     def _vote_with(self, kept: Kept[TurnState]) -> None:
         self.voter = Voter(kept, self.file.store, self._now)
         self.core.identity = kept.identity
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -162,6 +162,15 @@
     for_ms: float
 
 
+@dataclass(slots=True)
+class StepFailed:
+    """A step or an effect on this job failed (a fault of the program, which was logged): its client is answered now.
+    arrived: it failed as the job came, so that the reducer may not know of it."""
+
+    job: int
+    arrived: bool = False
+
+
 @dataclass(slots=True)
 class ClockStepped:
     """This machine's wall clock was set to another time while the process ran."""
@@ -222,6 +231,7 @@
     | Rebalance
     | Stalled
     | ClockStepped
+    | StepFailed
     | OthersTold
     | TurnsTold
 )
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -49,6 +49,7 @@
     Requeue,
     Retune,
     Stalled,
+    StepFailed,
     Stop,
     SubmitterLeft,
     TurnsTold,
@@ -115,6 +116,7 @@
             Asked: self._asked, Answered: self._answered, ListTold: self._list, Woke: self._woke, Stop: self._stop,
             Rebalance: self._configure, Stalled: self._stalled, Rejoin: self._rejoin,
             Retune: self._retune, ProbeOver: self._probe_over,
+            StepFailed: self._step_failed,
             ClockStepped: lambda event: self.starts.stepped(),
             OthersTold: lambda event: self._tell(event.others), TurnsTold: self._turns_told,
         }  # fmt: skip
@@ -630,6 +632,29 @@
         for node in self.nodes.values():
             node.heard = min(self.now, node.heard + event.for_ms)
 
+    def _step_failed(self, event: StepFailed) -> None:
+        """Whatever is left undone of this job, its client gets its answer. The module is told last: it may be what
+        failed."""
+        job = self.jobs.get(event.job)
+        if job is None:
+            if event.arrived:
+                self.effects.append(Deny(event.job))
+            return
+        node, phase, attempt = job.node, job.phase, job.attempt
+        if phase is Phase.OPEN:
+            self.effects.append(Move(job.id))
+        else:
+            if job.out:
+                self.effects.append(Drop(job.id, attempt))
+            self.effects.append(Deny(job.id))
+        self._finish(job)
+        if job.adoption is not None:
+            return
+        if phase is not Phase.OPEN:
+            self._tell(module.ClientGone(job.id))
+        if node is not None and phase is not Phase.HELD:
+            self._tell(module.AttemptEnded(job.id, attempt, node.number, module.Outcome.CANCELLED, True))
+
     def _stop(self, event: Stop) -> None:
         """Move every client, spread over the time there is; what comes meanwhile is served and moved as well."""
         self.stop_at, self.exits = self.now + event.within_ms, event.exits
@@ -654,18 +679,18 @@
 
     def _move_all(self) -> None:
         left = self.stop_at - self.now
+        # The next beat first: one job that cannot be moved must not keep the others here.
+        self.effects.append(Wake(min(left, STOP_BEAT_MS) if left > 0.0 else STOP_BEAT_MS, STOPPING))
         standing = [j for j in self.jobs.values() if j.phase is Phase.OPEN]
         if left <= 0.0:
+            # A drain that the process outlives: whoever still comes is served and moved in its turn.
             for job in list(self.jobs.values()):
                 if job.phase is Phase.OPEN:
                     self._move(job)
                 elif self.exits:
                     self._deadline(job)
-            # A drain that the process outlives: whoever still comes is served and moved in its turn.
-            self.effects.append(Wake(STOP_BEAT_MS, STOPPING))
             return
         # As many now as leave the rest for the beats that remain.
         beats = max(1.0, left / STOP_BEAT_MS - 1.0)
         for job in standing[: ceil(len(standing) / beats)]:
             self._move(job)
-        self.effects.append(Wake(min(left, STOP_BEAT_MS), STOPPING))
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -9,6 +9,7 @@
 from yarrowspindle.interface import ListKind
 from yarrowspindle.protocol.machines import Names
 from yarrowspindle.routing.messages import Address, ListTold
+from yarrowspindle.transport.connecting import Connecting
 from yarrowspindle.transport.machine_list import WatchSide
 
 
@@ -19,7 +20,7 @@
         self.names, self.told, self.failed = names, told, failed
         self.watch: WatchSide | None = None
         self.watch_at: Address | None = None
-        self.watching: asyncio.Task[None] | None = None
+        self.watching: Connecting | None = None
         self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
         self.closed = False
         self.heard_at: float | None = None  # when discovery, at the address below, last said anything after a list
@@ -43,9 +44,10 @@
                 self.watching.cancel()
         self.version = max(version, self.version) if version else 0
         self.watch_at = address
-        self.watch = WatchSide(self, self.names, address, version)
-        self.watch.begin()
-        self.watching = asyncio.get_running_loop().create_task(self._open(self.watch, address))
+        self.watch = watch = WatchSide(self, self.names, address, version)
+        watch.begin()
+        self.watching = Connecting(watch, address, lambda failure: watch.end(str(failure)))
+        self.watching.start()
 
     def close(self) -> None:
         self.closed = True
@@ -55,12 +57,6 @@
         if self.watching is not None:
             self.watching.cancel()
 
-    async def _open(self, watch: WatchSide, address: Address) -> None:
-        try:
-            await asyncio.get_running_loop().create_connection(lambda: watch, *address)
-        except OSError as error:
-            watch.end(f"no connection: {error!r}")
-
     # --- reports of the transport ---------------------------------------------------------------
 
     def watch_heard(self, watch: WatchSide) -> None:
--- a/yarrowspindle/runtime/prober.py
+++ b/yarrowspindle/runtime/prober.py
@@ -9,10 +9,12 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Collection
+from functools import partial
 
 from yarrowspindle.protocol.lines import report_of
 from yarrowspindle.routing.ending import Ending
 from yarrowspindle.routing.messages import Address, Probe, ProbeOver
+from yarrowspindle.transport.connecting import ConnectFailure, Connecting
 from yarrowspindle.transport.probe import ProbeSide
 
 MOST = 32  # connections; descriptors are set aside for them
@@ -29,7 +31,7 @@
         self.side, self.address = side, address
         self.since, self.stalled = 0.0, False
         self.late: asyncio.TimerHandle | None = None  # the question's time, then the idle connection's
-        self.opening: asyncio.Task[None] | None = None
+        self.opening: Connecting | None = None
 
 
 class Prober:
@@ -57,7 +59,8 @@
             return
         if asked is None:
             asked = Asked(ProbeSide(self, effect.node), effect.address)
-            asked.opening = loop.create_task(self._open(asked))
+            asked.opening = Connecting(asked.side, effect.address, partial(self._unreached, asked.side))
+            asked.opening.start()
         self.nodes[effect.node] = asked
         self.counts["sent"] += 1
         asked.since, asked.stalled = loop.time(), False
@@ -100,11 +103,9 @@
                 return True
         return False
 
-    async def _open(self, asked: Asked) -> None:
-        try:
-            await asyncio.get_running_loop().create_connection(lambda: asked.side, *asked.address)
-        except OSError as error:
-            asked.side.end(Ending.UNREACHED, f"no connection: {error!r}")
+    @staticmethod
+    def _unreached(side: ProbeSide, failure: ConnectFailure) -> None:
+        side.end(Ending.NEVER_SENT if failure.own else Ending.UNREACHED, str(failure))
 
     def _close(self, asked: Asked) -> None:
         asked.side.over = True  # nothing more is told of it
--- a/yarrowspindle/runtime/runtime.py
+++ b/yarrowspindle/runtime/runtime.py
@@ -11,10 +11,12 @@
     ClockStepped,
     Effect,
     Event,
+    JobArrived,
     NodeGone,
     Note,
     Probe,
     Stalled,
+    StepFailed,
     Unwake,
     Wake,
     Watch,
@@ -145,6 +147,16 @@
     def _failed(self, what: Event | Effect) -> None:
         self.counts["failures"] += 1
         self.log("error", f"the reducer or an effect failed: {what!r}")
+        job = self._job_of(what)
+        if job and not isinstance(what, StepFailed):
+            self.queue.append(StepFailed(job, isinstance(what, JobArrived)))
+
+    @staticmethod
+    def _job_of(what: Event | Effect) -> int:
+        """Whose answer may hang on it; 0: nobody's."""
+        if isinstance(what, Wake | Woke):
+            return what.what[1] if isinstance(what.what, tuple) and isinstance(what.what[1], int) else 0
+        return getattr(what, "job", 0)
 
     def _node_gone(self, effect: NodeGone) -> None:
         for front in self.fronts:
--- a/yarrowspindle/transport/receivers.py
+++ b/yarrowspindle/transport/receivers.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from yarrowspindle.routing.messages import Address
+from yarrowspindle.transport.connecting import ConnectFailure, Connecting
 
 CONNECT_S = 2.0
 AGAIN_LEAST_S, AGAIN_MOST_S = 1.0, 60.0
@@ -21,12 +22,13 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.transport: asyncio.Transport | None = None
-        self.connecting: asyncio.Task[None] | None = None
+        self.connecting: Connecting | None = None
         self.again_at, self.wait = 0.0, AGAIN_LEAST_S
         self.lost = 0  # reports thrown away
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.connecting = None
         self.wait = AGAIN_LEAST_S
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -41,17 +43,13 @@
         if self.transport is not None:  # it takes nothing any more
             self.transport.abort()
         elif self.connecting is None and loop.time() >= self.again_at:
-            self.connecting = loop.create_task(self._connect())
+            self.connecting = Connecting(self, self.address, self._unreached)
+            self.connecting.start(CONNECT_S)
 
-    async def _connect(self) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            await asyncio.wait_for(loop.create_connection(lambda: self, *self.address), CONNECT_S)
-        except OSError:
-            self.again_at = loop.time() + self.wait
-            self.wait = min(2.0 * self.wait, AGAIN_MOST_S)
-        finally:
-            self.connecting = None
+    def _unreached(self, failure: ConnectFailure) -> None:
+        self.connecting = None
+        self.again_at = asyncio.get_running_loop().time() + self.wait
+        self.wait = min(2.0 * self.wait, AGAIN_MOST_S)
 
 
 class Datagrams(asyncio.DatagramProtocol):
