--- a/tests/test_turns_parts.py
+++ b/tests/test_turns_parts.py
@@ -15,10 +15,11 @@
 from yarrowspindle.program.kept_file import FIRST, NoFile
 from yarrowspindle.program.turn_file import TurnFile, first_state
 from yarrowspindle.turns import codec
-from yarrowspindle.turns.core import Enter, Learn, Newest, Says
+from yarrowspindle.turns.core import Enter, Learn, Newest, Says, Turns
 from yarrowspindle.turns.emptying import BEAT_MS, Emptying, Task
 from yarrowspindle.turns.parcels import AGAIN_MS, GIVE_UP_MS, PART, Parcels
-from yarrowspindle.turns.register import NONE, Accept, Kept, Prepare, Refused
+from yarrowspindle.turns.register import NONE, Accept, Kept, Prepare, Promise, Refused, Voter
+from yarrowspindle.turns.register import Send as RegisterSend
 from yarrowspindle.turns.settings import Asking, read_asking
 from yarrowspindle.turns.state import Seen, TurnError, TurnState, Wish
 from yarrowspindle.turns.watch import TROUBLE_MS, FleetWatch, Look
@@ -125,6 +126,22 @@
     assert other.take_lock()
 
 
+def test_the_next_process_of_a_relay_does_not_take_a_promise_to_the_one_before_it_for_its_own() -> None:
+    """A promise that comes late was given before the earlier process wrote what it is about; counted by the next one,
+    under the same ballot, it would let that one write over what was agreed on."""
+    first = first_state(VOTERS)
+    earlier, later = (Turns("r0", key, first, "", first, 1, 0.0).proposer for key in ("key-1", "key-2"))
+    voters = {name: Voter(Kept(FIRST, NONE, NONE, first), lambda kept: None) for name in VOTERS}
+    late = {}
+    for effect in earlier.start(lambda state: state):
+        assert isinstance(effect, RegisterSend) and isinstance(effect.message, Prepare)
+        late[effect.to] = voters[effect.to].told(effect.message)
+    later.start(lambda state: state)
+    for name, promise in late.items():
+        assert isinstance(promise, Promise)
+        assert not later.told(name, promise), "a majority of late promises is none"
+
+
 # --- settings -------------------------------------------------------------------------------------
 
 PEERS = '[peers]\nlisten = "127.0.0.1:7946"\n'
