Take up a SIGHUP whole or not, spare servers the own network's faults, propose turns per process

Also: OwnWord kept every change that found no room in a datagram, 22 more at each beat where 600 nodes change. Change: UnicodeDecodeError is a ConfigError, sections are tables, the log level is one that the log knows; OwnNetwork holds only the first server to which there is no way until a connection comes up; turns propose under name and process key; changes that wait are 400 at most, and who misses a version asks for the whole, as ever.

--- a/yarrowspindle/peers/signals.py
+++ b/yarrowspindle/peers/signals.py
@@ -21,6 +21,7 @@
 ENTRIES = 50  # of three figures in a datagram, the whole of it at most 1,200 bytes with the heads and rumours
 REPORTS, PASSED = 12, 12  # at most in a datagram, which holds fewer entries then, half of them at the least
 TOLD_TIMES = 3
+TOLD_MOST = 400  # changes that wait to be told, of half a datagram each: all that may be held, once over
 PART_EVERY = 4  # beats between parts of the whole
 KEYS_MOST = 8192  # nodes that one relay may say it holds something at
 LEAST_CHANGE = 0.05  # of a load alone, that is told
@@ -61,6 +62,9 @@
         passed = [f for key, left in islice(own.passed.items(), PASSED) for f in (key, figure(left))]
         reports = self._reports(own, now)
         room = self._room(passed, reports)
+        # What never found room is given up, the oldest first: who misses a version asks for the whole.
+        while len(self.told) > TOLD_MOST:
+            self.told.popleft()
         while self.told and self.told[0].times >= times:
             self.told.popleft()
         while self.told and self.told[0].times and sum(len(c.keys) for c in self.told) > room:
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -22,6 +22,7 @@
     from yarrowspindle.turns.settings import TurnSettings
 
 
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 OWN = frozenset(("zone", "slot_no", "azs", "skus", "realms"))  # members of `settings` that are each relay's own
 
 
@@ -142,10 +143,16 @@
         unknown = data.keys() - {"log", "quic", "metrics", "rebalance", "peers", "turns", "control"}
         if unknown:
             raise ValueError(f"unknown sections: {sorted(unknown)}")
+        for name, section in data.items():
+            if not isinstance(section, dict):
+                raise ValueError(f"{name} is a section")
+        level = str(data.get("log", {}).get("level", "INFO"))
+        if level not in LOG_LEVELS:
+            raise ValueError(f"log.level is one of {', '.join(LOG_LEVELS)}")
         if "turns" in data and "peers" not in data:
             raise ValueError("[turns] needs [peers]: relays that do not hear one another agree on nothing")
         return Operator(
-            str(data.get("log", {}).get("level", "INFO")),
+            level,
             read_quic(dict(data["quic"])) if "quic" in data else None,
             read_metrics(dict(data["metrics"])) if "metrics" in data else None,
             read_rebalance(data["rebalance"]) if "rebalance" in data else None,
@@ -211,7 +218,7 @@
         return Operator()
     try:
         return read_operator(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path} cannot be read: {error}") from error
 
 
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -112,7 +112,7 @@
         try:
             operator = load_operator()
             config, waiting = reload_config(self.config, used=self.reducer.classes, shared=self.shared)
-        except ConfigError as error:
+        except (ConfigError, ValueError) as error:
             self.telemetry.reloaded(False)
             logger.error("the configuration was turned down, the old one stays whole: {}", error)
             return
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -34,7 +34,7 @@
     Requeue,
     SubmitterLeft,
 )
-from yarrowspindle.transport.connecting import ConnectFailure, Connecting
+from yarrowspindle.transport.connecting import ConnectFailure, Connecting, OwnNetwork
 from yarrowspindle.transport.listener import Listener
 from yarrowspindle.transport.node import NodeSide
 from yarrowspindle.transport.submitter import Submitter
@@ -50,6 +50,7 @@
         self.loop = asyncio.get_running_loop()
         self.door = Door(descriptors, self.loop.time)
         self.log = Bounded(self.loop.time)
+        self.network = OwnNetwork()
         self.submitters: dict[int, Submitter] = {}
         self.opened: dict[int, Open] = {}  # lines of jobs that may still be sent on
         self.nodes: dict[int, NodeSide] = {}  # of each job's attempt that is out, or its standing connection
@@ -146,6 +147,7 @@
         connecting = self.reaching.pop(side.job, None)
         if connecting is not None:
             connecting.done()
+        self.network.works()
         self.hub.post(NodeReached(side.job, side.attempt))
 
     def node_up(self, side: NodeSide) -> None:
@@ -181,7 +183,7 @@
         self.door.lost(side)
         if failure.unexpected:
             self.bad_line(f"a connection to execute node {side.node} failed: {failure.error!r}")
-        side.unreached(Ending.NEVER_SENT if failure.own else Ending.UNREACHED)
+        side.unreached(Ending.NEVER_SENT if self.network.at_fault(side.node, failure) else Ending.UNREACHED)
 
     def _ask(self, effect: Ask) -> None:
         side, opened = self.nodes.get(effect.job), self.opened.get(effect.job)
--- a/yarrowspindle/transport/connecting.py
+++ b/yarrowspindle/transport/connecting.py
@@ -35,6 +35,9 @@
 )
 
 
+NO_WAY = frozenset((errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EHOSTDOWN))
+
+
 @dataclass(slots=True, frozen=True)
 class ConnectFailure:
     """Why a connection did not come up. error: None where its time was over."""
@@ -44,7 +47,17 @@
     @property
     def own(self) -> bool:
         """Whether it says nothing of the other end."""
-        return self.error is not None and (self.unexpected or getattr(self.error, "errno", None) in OWN_FAILURES)
+        return self.error is not None and (self.unexpected or self.errno in OWN_FAILURES)
+
+    @property
+    def no_way(self) -> bool:
+        """Whether the system found no way there: the other end's fault, or that of the own network."""
+        return self.errno in NO_WAY
+
+    @property
+    def errno(self) -> int:
+        """The system's number for it; 0 where it has none."""
+        return getattr(self.error, "errno", None) or 0
 
     @property
     def unexpected(self) -> bool:
@@ -55,6 +68,25 @@
         return "no connection in time" if self.error is None else f"no connection: {self.error!r}"
 
 
+class OwnNetwork:
+    """Tells a server to which there is no way from an own network that has none to anybody: of servers that fail so
+    with no connection in between only the first is held to have failed."""
+
+    def __init__(self) -> None:
+        self.failed = ""  # the first server to which there was no way since a connection came up
+
+    def at_fault(self, server: str, failure: ConnectFailure) -> bool:
+        """Whether this failure says nothing of the server."""
+        if not failure.no_way:
+            return failure.own
+        self.failed = self.failed or server
+        return self.failed != server
+
+    def works(self) -> None:
+        """A connection came up."""
+        self.failed = ""
+
+
 class State(Enum):
     """Of one attempt to connect."""
 
--- a/yarrowspindle/turns/core.py
+++ b/yarrowspindle/turns/core.py
@@ -158,7 +158,8 @@
         self.name, self.key, self.identity, self.now = name, key, identity, now
         self.started = now
         self.random = Random(seed)
-        self.proposer = proposer(name, first, self.random)
+        # No two processes propose under one ballot: what was sent to an earlier one may still come.
+        self.proposer = proposer(f"{name} {key}", first, self.random)
         # Its voters may be those to ask; it may not be committed, so nothing more is believed of it.
         self.proposer.guide = max(first, guide, key=lambda s: s.epoch)
         self.fleet = Fleet(frozenset(), {}, (name,))
