Ask one gate whether a request may be taken, sent, repeated, moved or answered; guard the invariants

Cause: the rule stood in reducer.py (arrival, send, first byte, answer, move), policy.py (window, attempts, slow start) each in its own words, with no reason that logs or metrics could show, and nothing counted what breaks it at run time. Ruled out: a gate that holds the state itself (the reducer is the one place where state changes). Change: decisions/gate.py and refusal.py (pure), asked by reducer and module; decisions/retries.py and slow_start.py taken out of policy.py with the same random draws; answers, moves and drops carry their reason, metrics count them; telemetry/guard.py keeps books of its own and counts invariant_violations_total.RULE; telemetry/trace.py writes a line for each step under the client's id where the log shows debug. The first byte is no longer written within 4 ms of the deadline. An observer that fails no longer keeps an event from the reducer. A test that compared whole answers names their reason now: stricter.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -211,6 +211,7 @@
             await world.process.wait()
         await reading
         assert "Traceback" not in "".join(said), "".join(said)
+        assert not [line for line in said if " invariant " in line], "".join(said)
 
 
 def run(tmp: Path, body: Callable[[World], Awaitable[None]], operator: str = "", **changes: Any) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -403,4 +403,4 @@
         assert abs(b.everywhere.total - sum(s.capacity for s in ready)) < 1e-6
         assert {s.id for s in b.servers.values() if s.open} <= b.held_at.keys() | set()
         assert all(s.ready or s.open for s in b.servers.values())
-        assert {s.id for s in ready if now < s.started + 500.0 and s.started > 0.0} <= b.young.keys()
+        assert {s.id for s in ready if now < s.started + 500.0 and s.started > 0.0} <= b.slow_start.young.keys()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,6 +11,7 @@
 
 from tests.driver import Driver
 from tests.helpers import balancer, end, sends, settings
+from yarrowspindle.decisions.refusal import Refusal
 from yarrowspindle.interface import (
     Action,
     Due,
@@ -264,9 +265,9 @@
     assert first.begin_ms == inf
     (again,) = sends(end(b, 110.0, 1, first.server, Outcome.RESET, finished=False))
     assert again.begin_ms == 400.0 - 100.0 - 10.0
-    b.spare = 0.0
+    b.retries.spare = 0.0
     assert sends(end(b, 120.0, 1, again.server, Outcome.RESET, attempt=1, finished=False)) == []
-    assert b.handle(130.0, Due(1)) == [Fail(1)] and b.handle(131.0, Due(1)) == []
+    assert b.handle(130.0, Due(1)) == [Fail(1, Refusal.DEADLINE)] and b.handle(131.0, Due(1)) == []
 
 
 def test_where_the_list_comes_by_itself_it_is_never_asked_for() -> None:
--- /dev/null
+++ b/yarrowspindle/decisions/slow_start.py
@@ -0,0 +1,65 @@
+"""How fast servers that have just started are fed (slow start), so that all relays together stay within the budget.
+
+A cold server takes new connections no faster than fills it over its warm-up, by the ramp that the settings guarantee.
+Each relay adds its part: of what it holds itself, or ends well in such a time, what falls to these servers; so the
+fleet keeps the budget however busy the other relays are, and whoever comes again and again.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect
+from collections.abc import Callable
+from itertools import accumulate
+from math import inf
+
+from yarrowspindle.books import Rate, Server
+from yarrowspindle.decisions import gate
+from yarrowspindle.interface import Settings
+from yarrowspindle.ring import Ring
+
+BUDGET_PART = 0.75  # of the fall multiple, used of a cold server's budget; the rest is for chance
+HEADROOM = 2.0  # what fills a server, over its share of what stands as a rule
+LOOKS = 32.0  # in the time in which a fall is judged: how often cold servers are looked up
+CANDIDATES = 2
+
+
+class SlowStart:
+    """One relay's part of the budget of all cold servers that it feeds. random: draws in 0 to 1."""
+
+    def __init__(self, settings: Settings, random: Callable[[], float], now: float) -> None:
+        self.random = random
+        self.young: dict[int, Server] = {}  # servers that may be cold
+        self.cold: list[Server] = []  # those that we feed, as last looked up, and sums of what they can do
+        self.cold_ends: list[float] = []
+        self.looked_at, self.fed_at = -inf, now
+        # Own connections that ended well: in the long run as many as are wanted, whoever comes again.
+        self.ended = Rate(settings.cold_ms, now)
+
+    def seen(self, server: Server) -> None:
+        """It was listed, or turned up on the books: it may have started a moment ago."""
+        self.young[server.id] = server
+
+    def forget(self, server: int) -> None:
+        self.young.pop(server, None)
+
+    def candidates(
+        self, now: float, settings: Settings, fed: Ring[Server], home_only: bool, standing: int
+    ) -> list[Server]:
+        """Cold servers of which one is to get this request; empty: the budget says no. fed: the ring whose cold servers
+        we feed, of the own zone alone where `home_only`. standing: own connections."""
+        if now >= self.looked_at + settings.fall_ms / LOOKS:
+            self._look_up(now, settings, home_only)
+        since, self.fed_at = now - self.fed_at, now
+        if not self.cold:
+            return []
+        part = BUDGET_PART * HEADROOM * settings.fall_multiple * self.cold_ends[-1] / fed.usual
+        stands = max(standing / settings.cold_ms, self.ended.get(now))
+        if gate.may_feed(part * stands * min(since, 2.0 * settings.fall_ms), self.random()):
+            return []
+        return [self.cold[bisect(self.cold_ends, self.random() * self.cold_ends[-1])] for _ in range(CANDIDATES)]
+
+    def _look_up(self, now: float, settings: Settings, home_only: bool) -> None:
+        self.looked_at = now
+        self.young = {i: s for i, s in self.young.items() if s.ready and s.ramp(now, settings) < 1.0}
+        self.cold = [s for s in self.young.values() if not home_only or s.zone == settings.zone]
+        self.cold_ends = list(accumulate(s.capacity * s.ramp(now, settings) for s in self.cold))
--- a/yarrowspindle/interface.py
+++ b/yarrowspindle/interface.py
@@ -11,6 +11,8 @@
 from enum import IntEnum
 from math import inf
 
+from yarrowspindle.decisions.refusal import Refusal
+
 
 class Effect(IntEnum):
     """What repeating a request may do."""
@@ -361,6 +363,7 @@
 
     request: int
     retry_after_ms: float = 0.0
+    why: Refusal | None = None
 
 
 @dataclass(slots=True)
@@ -368,6 +371,7 @@
     """Final answer: not served, with no promise on whether it ran."""
 
     request: int
+    why: Refusal | None = None
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -6,14 +6,16 @@
 
 from __future__ import annotations
 
-from bisect import bisect
 from collections.abc import Callable
-from itertools import accumulate
 from math import inf
 from random import Random
 from typing import Any
 
-from yarrowspindle.books import Job, Loads, Rate, Server, SetUps, Trouble, known
+from yarrowspindle.books import Job, Loads, Server, SetUps, Trouble, known
+from yarrowspindle.decisions.gate import may_promise_no_effect
+from yarrowspindle.decisions.refusal import Refusal
+from yarrowspindle.decisions.retries import RetryBudget, least_wait, may_attempt, repeat_group, repeat_within
+from yarrowspindle.decisions.slow_start import SlowStart
 from yarrowspindle.interface import (
     NEVER_RAN,
     Action,
@@ -26,7 +28,6 @@
     Established,
     Event,
     Fail,
-    Group,
     Levelling,
     ListKind,
     LoadChanged,
@@ -54,13 +55,9 @@
 
 GOLDEN = (5**0.5 - 1) / 2  # multiples of it spread evenly over a ring, whichever numbers are taken
 DEAR = 0.05  # a crossing that costs more of a request's worth than this is worth staying at home for
-COLD_PART = 0.75  # of the fall multiple, used of a cold server's budget; the rest is for chance
-HEADROOM = 2.0  # what fills a server, over its share of what stands as a rule
 AWAY = 90.0  # against other zones, in load of all balancers a unit of capacity, where we go by own load
 MOVE_PART = 0.8  # chance of a move for a slow note, where the server is the only slow one
 SHED = 0.3  # the least of that chance, in a general overload where clients can be told to wait
-RETRY_PART = 0.2  # other attempts allowed at once for each connection set up: retries add a fifth at most
-SPARE_MOST = 2.0  # and saved up for later
 STRIKES_MOST = 2  # failures in a row that still make the time longer for which a server is passed over
 BREAKS, BREAKS_MS = 3, 1000.0  # so many connections that break off within this time are a server's own doing
 RETURNED_DRAWS = 16  # for clients that come again while servers are levelled: two seldom find who has room
@@ -86,18 +83,13 @@
         if settings.cross_zone_price > DEAR:
             self.inner = Ring(settings.balancers / settings.zones)
         self.held_at: dict[int, Server] = {}  # servers that hold something of ours, or are told to be slow
-        self.young: dict[int, Server] = {}  # servers that may be cold
-        self.cold: list[Server] = []  # those that we feed, as last looked up, and sums of what they can do
-        self.cold_ends: list[float] = []
-        self.cold_at, self.fed_at, self.standing = -inf, now, 0
+        self.slow_start, self.standing = SlowStart(settings, self.random, now), 0
         self.jobs: dict[int, Job] = {}
         self.others = OthersBook(settings.balancers)
         self.estimates = Estimates(settings, self.others) if settings.may_probe and settings.report else None
         self.probes, self.beating = 0.0, False  # that may go out at once
         self.trouble, self.set_up = Trouble(settings.fall_ms / 8.0, now), SetUps()
-        self.spare = SPARE_MOST  # other attempts that may go out at once
-        # Own connections that ended well: in the long run as many as are wanted, whoever comes again.
-        self.ended, self.loads = Rate(settings.cold_ms, now), Loads()
+        self.retries, self.loads = RetryBudget(), Loads()
         self.level = 0.0  # own load for each unit of capacity that servers are levelled to; 0: they are not
         self.held: dict[int, Job] = {}  # requests that wait for a usable server
         self.timers: dict[int, Callable[[], None]] = {}
@@ -178,9 +170,11 @@
                 ring.drop(server)
             elif ring is self.everywhere or server.zone == self.settings.zone:
                 ring.put(server)
-        self.servers[server.id] = self.young[server.id] = server
+        self.servers[server.id] = server
+        self.slow_start.seen(server)
         if not ready and not server.open:
-            for book in (self.servers, self.young, self.held_at):
+            self.slow_start.forget(server.id)
+            for book in (self.servers, self.held_at):
                 book.pop(server.id, None)
 
     def _hold_on(self, server: Server, job: Job, by: int = 1) -> None:
@@ -220,7 +214,8 @@
         """The ordinary path: two ready servers at random, the one with fewer own open connections."""
         inner, outer = self.inner, self.everywhere
         if job.ran_on is not None and self.settings.classes[job.cls].effect is not Effect.SAFE:
-            inner = outer = self._repeat_group(job, job.ran_on)
+            cls, within = self.settings.classes[job.cls], repeat_within(job, self.settings, self.now)
+            inner = outer = repeat_group(job, job.ran_on, cls, within, self.everywhere.pool)
         elif (cold := self._feed()) is not None:
             return cold
         if (told := self.estimates) is not None:
@@ -341,49 +336,18 @@
             for server, came, report in self.others.news(event, self.servers, self.now):
                 self.estimates.beside(server, came, report, self.now)
 
-    # --- cold budget ----------------------------------------------------------------------------
+    # --- slow start -----------------------------------------------------------------------------
 
     def _feed(self) -> Server | None:
-        """A cold server, as often as our part of the budget of all cold ones that we feed allows.
-
-        A cold server takes new connections no faster than fills it over its warm-up, by the guaranteed ramp.
-        Each balancer adds its part: of what it holds itself, or ends well in such a time, what falls to these
-        servers; so the fleet keeps rule 4 however busy the others are, and whoever comes again and again. By
-        chance with each request: if each saved up for a whole one, all would send theirs in one moment.
-        """
-        settings = self.settings
+        """A cold server, as often as our part of the budget of all cold ones that we feed allows."""
         fed = self.everywhere if self.blind else self.inner  # whose cold servers we feed
-        if self.now >= self.cold_at + settings.fall_ms / 32.0:
-            self.cold_at = self.now
-            self.young = {i: s for i, s in self.young.items() if s.ready and s.ramp(self.now, settings) < 1.0}
-            self.cold = [s for s in self.young.values() if fed is self.everywhere or s.zone == settings.zone]
-            self.cold_ends = list(accumulate(s.capacity * s.ramp(self.now, settings) for s in self.cold))
-        since, self.fed_at = self.now - self.fed_at, self.now
-        if not self.cold:
+        home_only = fed is not self.everywhere
+        found = self.slow_start.candidates(self.now, self.settings, fed, home_only, self.standing)
+        if not found:
             return None
-        part = COLD_PART * HEADROOM * settings.fall_multiple * self.cold_ends[-1] / fed.usual
-        stands = max(self.standing / settings.cold_ms, self.ended.get(self.now))
-        if self.random() >= part * stands * min(since, 2.0 * settings.fall_ms):
-            return None
-        two = (self.cold[bisect(self.cold_ends, self.random() * self.cold_ends[-1])] for _ in range(2))
-        server = min(two, key=self._rank)
+        server = min(found, key=self._rank)
         return server if server.ready and self.now >= server.bad_until and server.used < SICK else None
 
-    def _repeat_group(self, job: Job, ran_on: Server) -> Ring[Server]:
-        """Where a request that may have run may go again (rule 2)."""
-        cls, ring = self.settings.classes[job.cls], Ring[Server]()
-        for s in self.everywhere.pool if self._window(job) > 0.0 else ():
-            if cls.group is Group.ALL or (s.zone == ran_on.zone if cls.group is Group.ZONE else s.cell == ran_on.cell):
-                ring.put(s)
-        return ring
-
-    def _window(self, job: Job) -> float:
-        """Within what a further attempt has to begin, so that it is known as a repeat where it arrives."""
-        cls, slack = self.settings.classes[job.cls], self.settings.tick_ms + self.settings.answer_slack_ms
-        if job.ran_on is None or cls.effect is Effect.SAFE:
-            return inf
-        return 0.0 if cls.effect is Effect.UNSAFE else job.ran_at + cls.window_ms - slack - self.now
-
     # --- attempts -------------------------------------------------------------------------------
 
     def _request(self, event: Request) -> None:
@@ -399,28 +363,29 @@
 
     def _place(self, job: Job) -> None:
         """Send the request's next attempt, hold it while that can help, or answer it."""
-        may = job.attempts < min(job.most, self.settings.max_attempts) and self.now < job.deadline
-        server = self._choose(job) if may else None
+        refused = may_attempt(job, self.settings, self.now)
+        server = None if refused else self._choose(job)
         if server is not None and self._hopeless(server, job):
-            self._answer(job)
+            self._answer(job, Refusal.OVERLOADED)
         elif server is not None:
             self.held.pop(job.id, None)
             job.attempts += 1
             job.server, job.out, job.sent = server, True, self.now
             self._hold_on(server, job)
-            self.out.append(Send(job.id, server.id, 0.0, self._window(job)))
+            self.out.append(Send(job.id, server.id, 0.0, repeat_within(job, self.settings, self.now)))
         elif job.id not in self.held:
             aim = self.settings.classes[job.cls].aim_ms
             self._hold(job, aim / 2.0, job.arrived + aim)
 
     def _hold(self, job: Job, delay: float, until: float) -> None:
         """Look at the request again after the delay, if it can still be sent then; else answer it now."""
-        left = min(min(job.deadline - self.settings.tick_ms, until) - self.now, self._window(job))
-        if job.attempts < min(job.most, self.settings.max_attempts) and left > self.settings.tick_ms:
+        refused = may_attempt(job, self.settings, self.now)
+        left = least_wait(job, self.settings, until, self.now)
+        if refused is None and left > self.settings.tick_ms:
             self.held[job.id] = job
             self._later(min(left, delay), lambda: self._place(job) if self.held.pop(job.id, None) else None)
         else:
-            self._answer(job)
+            self._answer(job, refused or Refusal.NO_SERVER)
 
     def _hopeless(self, server: Server, job: Job) -> bool:
         """Whether messages there miss the class's aim: the request would earn nothing and cost the others.
@@ -445,14 +410,15 @@
         aim = self.settings.classes[job.cls].message_aim_ms
         return self.now < server.slow_until and 0.0 < aim < server.message_ms  # 0: the class states no aim
 
-    def _answer(self, job: Job) -> None:
+    def _answer(self, job: Job, why: Refusal) -> None:
         """The final answer of a request that is not served."""
         cls = self.settings.classes[job.cls]
-        harmless = job.ran_on is None or cls.effect is Effect.SAFE
+        harmless = may_promise_no_effect(cls.effect, job.ran_on is not None)
         self._close(job)
         # Refused clients return spread over the second half of the longest wait that they heed.
         wait = self.settings.max_retry_after_ms * (0.5 + 0.5 * self.random())
-        self.out.append(Refuse(job.id, wait * self.settings.retry_after) if harmless else Fail(job.id))
+        refuse = Refuse(job.id, wait * self.settings.retry_after, why)
+        self.out.append(refuse if harmless else Fail(job.id, why))
 
     def _close(self, job: Job) -> None:
         job.owed = False
@@ -474,7 +440,7 @@
     def _established(self, event: Established) -> None:
         job = known(self.jobs, event.request)
         job.established = True
-        self.spare = min(self.spare + RETRY_PART, SPARE_MOST)
+        self.retries.earn()
         self.set_up.took(min(1.0, event.latency_ms / self.settings.classes[job.cls].aim_ms))
         if job.server is not None:
             job.server.strikes //= 2
@@ -504,13 +470,12 @@
             server.slow_until, server.message_ms = self.now + FORGET_MS, inf
             self._mark(server)
         if event.outcome is Outcome.OK:
-            self.ended.count(self.now)
+            self.slow_start.ended.count(self.now)
         if event.outcome not in NEVER_RAN and job.ran_on is None:
             job.ran_on, job.ran_at = server, job.sent
         if event.finished or not job.owed:
             self._close(job)
-        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT) or self.spare >= 1.0:
-            self.spare -= event.outcome not in (Outcome.CONNECT_FAILED, Outcome.MOOT)
+        elif self.retries.spend(free=event.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT)):
             self._place(job)
         else:
             # Many fail at once, so what they share fails (a store, say): each further try would feed it.
@@ -522,7 +487,7 @@
         """The client left, or waits no longer. What we ended a moment ago may be named: nothing to do."""
         job = self.jobs.get(event.request)
         if job is not None and isinstance(event, Due):
-            self._answer(job)
+            self._answer(job, Refusal.DEADLINE)
         elif job is not None:
             if job.out and not job.established and self.settings.may_cancel:
                 self.out.append(Cancel(job.id, job.attempts - 1))
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -17,7 +17,10 @@
 from yarrowspindle.runtime.list_watch import ListWatch
 from yarrowspindle.runtime.prober import Prober
 from yarrowspindle.telemetry import Telemetry
+from yarrowspindle.telemetry.guard import Guard
+from yarrowspindle.telemetry.trace import Trace
 
+TRACED = ("TRACE", "DEBUG")  # log levels at which each step of each request is logged
 IDLE_PART = 0.8  # of the time after which nodes close idle connections: the relay closes them first
 # SIGKILL comes no sooner after SIGTERM than the longest deadline (counted as 3 s where it is longer) and 0.7 s more.
 LONGEST_MS, KILL_AFTER_MS = 3000.0, 700.0
@@ -47,6 +50,13 @@
         self.runtime.seen.append(lambda now, event: self.metrics.event(event))
         self.telemetry = Telemetry(reducer, self.class_name)
         self.runtime.seen.append(lambda now, event: self.telemetry.event(event))
+        self.guard = Guard(lambda: self.config.settings, logger.error)
+        self.metrics.sources["invariant_violations_total"] = self.guard.counts
+        self.runtime.seen.append(self.guard.event)
+        self.trace: Trace | None = None
+        if self.operator.log_level in TRACED:
+            self.trace = trace = Trace(logger.debug)
+            self.runtime.seen.append(lambda now, event: trace.event(event))
         self.runtime.effect = self._effect
         self.serving = False  # set once the fronts take connections, and unset when they no longer do
         self.watch = ListWatch(
@@ -69,8 +79,11 @@
         self._rebalance()
 
     def _effect(self, effect: Effect) -> None:
+        self.guard.effect(effect)
         self.metrics.effect(effect)
         self.telemetry.effect(effect)
+        if self.trace is not None:
+            self.trace.effect(effect)
 
     def class_name(self, cls: int) -> str:
         classes = self.config.classes
--- a/yarrowspindle/program/metrics.py
+++ b/yarrowspindle/program/metrics.py
@@ -10,9 +10,10 @@
 
 from yarrowspindle.program.config import MetricsConfig
 from yarrowspindle.protocol import collectd, graphite
-from yarrowspindle.routing.messages import Address, AttemptOver, Effect, Event
+from yarrowspindle.routing.messages import Address, AttemptOver, Deny, Drop, Effect, Event, Move, Requeue
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.routing.state import Phase
+from yarrowspindle.telemetry.trace import reason
 from yarrowspindle.transport.receivers import Datagrams, Receiver
 
 if TYPE_CHECKING:
@@ -59,6 +60,12 @@
         name = type(effect).__name__
         if name in COUNTED:
             self.counts[f"effect.{name}"] += 1
+        if isinstance(effect, Requeue | Deny) and effect.why is not None:
+            self.counts[f"refusal.{effect.why.value}"] += 1
+        elif isinstance(effect, Drop):
+            self.counts[f"given_up.{reason(effect.why)}"] += 1
+        elif isinstance(effect, Move):
+            self.counts[f"moved.{reason(effect.why)}"] += 1
 
     def gauges(self) -> dict[str, float]:
         phases = Counter(job.phase for job in self.reducer.jobs.values())
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from yarrowspindle.decisions.refusal import Refusal
 from yarrowspindle.interface import ListKind, Others, Settings, State
 from yarrowspindle.routing.ending import Ending
 
@@ -266,6 +267,7 @@
 
     job: int
     attempt: int
+    why: Ending | Refusal | None = None
 
 
 @dataclass(slots=True)
@@ -281,6 +283,7 @@
 
     job: int
     after_ms: float
+    why: Refusal | None = None
 
 
 @dataclass(slots=True)
@@ -288,6 +291,7 @@
     """Final answer: failed."""
 
     job: int
+    why: Refusal | None = None
 
 
 @dataclass(slots=True)
@@ -295,6 +299,7 @@
     """Tell the submitter to come again, and end both sides."""
 
     job: int
+    why: Ending = Ending.MOVED
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -12,6 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 from yarrowspindle import interface as module
+from yarrowspindle.decisions import gate
+from yarrowspindle.decisions.gate import EARLY_MS
+from yarrowspindle.decisions.refusal import Refusal
 from yarrowspindle.interface import ListKind, ServerEntry, Settings, State
 from yarrowspindle.policy import Balancer
 from yarrowspindle.routing.ending import OUTCOMES, Ending
@@ -75,8 +78,6 @@
 TELL_MS = 1000.0  # message times are told once a second for each node
 PINNED_MS = 38_000.0  # connections from before the run have 40 s to come up
 PINNED_AGAIN_MS = 400.0
-PATIENCE_MS = 1000.0  # a submitter that would wait for longer than its class's deadline and this is not believed
-EARLY_MS = 4.0  # the deadline's answer leaves this long before the submitter stops waiting
 STOP_BEAT_MS = 50.0
 NAMED_MOST = 8  # nodes in one line of the log
 PROBE_MS = 500.0  # an execute node that pauses for a quarter of a second answers within this, a lost one never
@@ -140,9 +141,9 @@
         if isinstance(action, module.Send):
             self._send(self.jobs[action.request], self.numbers.get(action.server), action)
         elif isinstance(action, module.Refuse):
-            self._answer(action.request, Requeue(action.request, action.retry_after_ms))
+            self._answer(action.request, Requeue(action.request, action.retry_after_ms, action.why))
         elif isinstance(action, module.Fail):
-            self._answer(action.request, Deny(action.request))
+            self._answer(action.request, Deny(action.request, action.why))
         elif isinstance(action, module.Move):
             self._move(self.jobs.get(action.request))
         elif isinstance(action, module.SetTimer):
@@ -165,14 +166,14 @@
             self._tell(module.Probed(node.number, OUTCOMES[event.ending], event.took_ms, event.report))
 
     def _send(self, job: Job, node: Node | None, send: module.Send) -> None:
-        if job.phase is not Phase.HELD:
-            raise ValueError(f"job {job.id} is {job.phase.name}: one attempt at a time")
+        if refused := gate.may_answer(waiting=job.phase is not Phase.OVER, out=job.phase is not Phase.HELD):
+            raise ValueError(f"job {job.id} is {job.phase.name}: {refused.value}")
         job.attempt += 1
         left = job.deadline - self.now
         if send.timeout_ms > 0.0:
             left = min(left, send.timeout_ms)
         job.begin_by = self.now + send.begin_ms
-        if node is None or node.state is not State.READY or left <= EARLY_MS:
+        if node is None or gate.may_begin(node.state, left):
             number = node.number if node else 0
             self._tell(module.AttemptEnded(job.id, job.attempt, number, OUTCOMES[Ending.NEVER_SENT], False))
             return
@@ -187,7 +188,7 @@
 
     def _answer(self, number: int, answer: Requeue | Deny) -> None:
         job = self.jobs.get(number)
-        if job is not None and job.phase is Phase.HELD:  # else it has its one answer already
+        if job is not None and not gate.may_answer(waiting=job.phase is not Phase.OPEN, out=job.out):
             self._finish(job)
             self.effects.append(answer)
             if self.rebalance is not None and isinstance(answer, Requeue):
@@ -231,21 +232,19 @@
             # All connections from before the run come at once, more than a node may take at a time.
             self.effects.append(Wake(PINNED_AGAIN_MS, ("again", job.id)))
         elif not finished:
-            self._answer(job.id, Requeue(job.id, 0.0))
+            self._answer(job.id, Requeue(job.id, 0.0, Refusal.NO_SERVER))
 
     def _move(self, job: Job | None) -> None:
-        if job is not None and job.phase is Phase.OPEN:
+        if job is not None and not gate.may_move(standing=job.phase is Phase.OPEN):
             self.effects.append(Move(job.id))
             self._ended(job, Ending.MOVED, True)
 
     # --- jobs -----------------------------------------------------------------------------------
 
     def _arrived(self, event: JobArrived) -> None:
-        if event.ref and not self._believed(event):
-            self.effects.append(Deny(event.job))
-            return
-        if self.ended(self.now):
-            self.effects.append(Requeue(event.job, 0.0))
+        if refused := self._may_take(event):
+            harmless = refused is Refusal.RELAY_ENDING
+            self.effects.append(Requeue(event.job, 0.0, refused) if harmless else Deny(event.job, refused))
             return
         job = self.jobs[event.job] = Job(event.job, self.now, event.left_ms, event)
         if self.rebalance is not None:
@@ -266,21 +265,26 @@
             self._tell(module.Request(event.job, event.cls, event.tenant, event.key, event.left_ms, event.load,
                                       event.group, event.repeated, False, event.returned))  # fmt: skip
 
-    def _believed(self, event: JobArrived) -> bool:
+    def _may_take(self, event: JobArrived) -> Refusal | None:
         """Guards the nodes and the other jobs against a submitter that uses another's name, that would wait without
-        end, or that picks its node itself once the run has begun (that could be one that drains)."""
-        if event.ref in self.refs:
-            return False
-        if event.at:
-            return not self.begun
-        if event.left_ms > self.settings.classes[event.cls].deadline_ms + PATIENCE_MS:
-            return False
-        self.begun = True
-        return True
+        end, or that picks its node itself once the run has begun (that could be one that drains). A job without a
+        name was made by the front itself."""
+        named = bool(event.ref)
+        refused = gate.may_take(
+            ending=self.ended(self.now),
+            id_in_use=event.ref in self.refs,
+            names_server=bool(event.at) or not named,
+            begun=self.begun and named,
+            left_ms=event.left_ms,
+            deadline_ms=self.settings.classes[event.cls].deadline_ms if named else event.left_ms,
+        )
+        if named and not event.at and refused in (None, Refusal.RELAY_ENDING):
+            self.begun = True
+        return refused
 
     def _pin(self, job: Job) -> None:
         if job.node is None or job.node.state is State.GONE or self._kept_off(job.node.name):
-            self._answer(job.id, Requeue(job.id, 0.0))
+            self._answer(job.id, Requeue(job.id, 0.0, Refusal.SERVER_GONE))
         else:
             self._reach(job, job.node, job.deadline - self.now)
 
@@ -293,14 +297,14 @@
         if job.phase is Phase.HELD:
             self._finish(job)
         else:
-            self.effects.append(Drop(job.id, job.attempt))
+            self.effects.append(Drop(job.id, job.attempt, Ending.SUBMITTER_LEFT))
             self._ended(job, Ending.SUBMITTER_LEFT, True)
 
     def _out_of_turn(self, event: OutOfTurn) -> None:
         job = self.jobs.get(event.job)
         if job is not None and job.phase is not Phase.OPEN:
             self._left(SubmitterLeft(job.id))
-            self.effects.append(Deny(job.id))
+            self.effects.append(Deny(job.id, Refusal.OUT_OF_TURN))
 
     def _current(self, job: int, attempt: int) -> Job | None:
         """The job, where word on this attempt still matters."""
@@ -311,9 +315,15 @@
         job = self._current(event.job, event.attempt)
         if job is None or job.node is None or job.phase is not Phase.REACHING:
             return
-        # Asked again before the first byte leaves: much may have happened since the connection was begun.
-        if self.now >= job.begin_by or job.adoption is None and job.node.state is not State.READY:
-            self.effects.append(Drop(job.id, job.attempt))
+        refused = gate.may_write(
+            job.node.state,
+            pinned=job.adoption is not None,
+            now=self.now,
+            begin_by=job.begin_by,
+            deadline=job.deadline,
+        )
+        if refused:
+            self.effects.append(Drop(job.id, job.attempt, refused))
             self._ended(job, Ending.NEVER_SENT, False)
             return
         job.step(Phase.ASKED)
@@ -407,11 +417,11 @@
         mute = {j.node for j in silent if j.node is not None and j.node.heard < self.now - SILENT_MS}
         for job in silent:
             if job.phase is Phase.OPEN:
-                self.effects.append(Move(job.id))
+                self.effects.append(Move(job.id, Ending.SILENT))
                 self._ended(job, Ending.SILENT, True)
         for job in [j for j in self.jobs.values() if j.phase is Phase.ASKED and j.node in mute]:
             if job.sent < self.now - MUTE_MS:
-                self.effects.append(Drop(job.id, job.attempt))
+                self.effects.append(Drop(job.id, job.attempt, Ending.SILENT))
                 self._ended(job, Ending.SILENT, False)
 
     # --- the machine list -----------------------------------------------------------------------
@@ -466,7 +476,8 @@
             # Nothing was sent yet, and nothing may be sent to a node that drains or is gone; a new one is chosen anew.
             job = self.jobs[number]
             if job.phase is Phase.REACHING and job.adoption is None:
-                self.effects.append(Drop(job.id, job.attempt))
+                why = gate.may_use(job.node.state) if job.node is not None else None
+                self.effects.append(Drop(job.id, job.attempt, why or Ending.NEVER_SENT))
                 self._ended(job, Ending.NEVER_SENT, False)
         for node in changed:
             if node.state is State.GONE and touched[node.name] is not State.GONE:
@@ -612,14 +623,14 @@
 
     def _deadline(self, job: Job) -> None:
         if job.out:
-            self.effects.append(Drop(job.id, job.attempt))
+            self.effects.append(Drop(job.id, job.attempt, Refusal.DEADLINE))
             stalled = job.deadline - EARLY_MS <= self.stalled_at
             job.deadline = self.now
             self._ended(job, Ending.STALLED if stalled else Ending.OVERDUE, False)
         if job.phase is Phase.HELD and job.adoption is None:
             self._tell(module.Due(job.id))  # what may have run is not called harmless to repeat: the module knows
         if job.phase is Phase.HELD:
-            self._answer(job.id, Requeue(job.id, 0.0))
+            self._answer(job.id, Requeue(job.id, 0.0, Refusal.DEADLINE))
 
     def _stalled(self, event: Stalled) -> None:
         """Silence is counted from when we could hear again: answers may have waited in our own sockets."""
@@ -638,15 +649,15 @@
         job = self.jobs.get(event.job)
         if job is None:
             if event.arrived:
-                self.effects.append(Deny(event.job))
+                self.effects.append(Deny(event.job, Refusal.STEP_FAILED))
             return
         node, phase, attempt = job.node, job.phase, job.attempt
         if phase is Phase.OPEN:
             self.effects.append(Move(job.id))
         else:
             if job.out:
-                self.effects.append(Drop(job.id, attempt))
-            self.effects.append(Deny(job.id))
+                self.effects.append(Drop(job.id, attempt, Refusal.STEP_FAILED))
+            self.effects.append(Deny(job.id, Refusal.STEP_FAILED))
         self._finish(job)
         if job.adoption is not None:
             return
--- a/yarrowspindle/runtime/runtime.py
+++ b/yarrowspindle/runtime/runtime.py
@@ -119,7 +119,11 @@
             while True:
                 now = self.clock.now()
                 for see in self.seen:
-                    see(now, event)
+                    try:
+                        see(now, event)
+                    except Exception:  # whoever looks on must not keep the event from the reducer
+                        self.counts["failures"] += 1
+                        self.log("error", f"an observer failed at {event!r}")
                 try:
                     effects = step(now, event)
                 except Exception:
