Soak real relays among overlapping faults, judged from outside; show three finds by tests that fail

Cause: no run of real processes made retries, stepped clocks, failing system calls and restarts overlap. Ruled out: the lab's processes (their servers never refuse, so that no retry is ever made there).

--- /dev/null
+++ b/benchmarks/soak/clients.py
@@ -0,0 +1,158 @@
+"""Clients, and the front that deals their connections out among the relays that serve."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import suppress
+from random import Random
+
+from benchmarks.soak.oracle import Request
+from benchmarks.soak.relays import Relay
+from benchmarks.soak.world import World
+
+FOLLOW_S = 0.3  # for so long after SIGTERM connections go on coming
+PATIENCE_S = 6.0  # over its time, until a client that was not answered gives up
+RESETS = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+NONSENSE = (
+    b"\x00" * 200,
+    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    b"OPEN x y z\r\n",
+    b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=none,t=acme,d=500\r\n",
+    b"y" * 300_000,
+    b"OPEN 9b1f03aa5c7e2d41 7f3a",
+    b"PING\r\n" * 3,
+    b"",
+)
+
+
+class Clients:
+    """leaving: the share of clients that leave early; rude: of those that make no sense."""
+
+    def __init__(self, world: World, relays: list[Relay]) -> None:
+        self.world, self.relays = world, relays
+        self.random = Random(f"clients {world.plan.seed}")
+        self.leaving = self.rude = self.piecewise = 0.0
+        self.number = self.random.getrandbits(62)
+        self.asked = 0
+        self.stopped = False
+
+    async def run(self) -> None:
+        """Asks at a steady mean rate, by chance."""
+        rate = self.world.plan.per_relay_s * len(self.relays)
+        while not self.stopped:
+            await asyncio.sleep(self.random.expovariate(rate))
+            serving = [relay for relay in self.relays if relay.takes(self.world.now(), FOLLOW_S)]
+            if not serving:
+                continue
+            relay = self.random.choice(serving)
+            if self.random.random() < self.rude:
+                self.world.start(self._rude(relay))
+            else:
+                self.world.start(self._ask(relay))
+
+    def _request(self, relay: Relay) -> tuple[Request, bytes]:
+        settings = self.world.plan.settings
+        cls = self.random.choice(settings["categories"])
+        self.number += 1
+        name = f"{self.number & (1 << 64) - 1:016x}"
+        wait_ms = cls["deadline_ms"] * self.random.choice((1.0, 1.0, 1.0, 0.5))
+        request = Request(name, relay.instance, cls["name"], cls["effect"], cls["group"], cls["window_ms"] / 1000.0,
+                          wait_ms / 1000.0)  # fmt: skip
+        tenant = self.random.choice(("acme", "zeta"))
+        line = f"OPEN {name} {self.random.getrandbits(64):016x} c={cls['name']},t={tenant},d={wait_ms:.0f}"
+        if settings["family_info"]["groups"]:
+            line += f",g={self.random.randrange(1, 40):x}"
+        return request, f"{line}\r\n".encode()
+
+    async def _connect(self, relay: Relay) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        try:
+            return await asyncio.wait_for(asyncio.open_connection(*relay.address), 3.0)
+        except (OSError, TimeoutError):
+            return None
+
+    async def _ask(self, relay: Relay) -> None:
+        request, line = self._request(relay)
+        ends = await self._connect(relay)
+        if ends is None:
+            return
+        reader, writer = ends
+        request.relay = relay.instance_at(writer.get_extra_info("sockname")) or relay.instance
+        self.asked += 1
+        self.world.oracle.requests[request.name] = request
+        relay.open.add(request)
+        try:
+            await self._say(writer, line)
+            if reader.at_eof():
+                return
+            request.sent = self.world.now()
+            await self._hear(request, reader, writer)
+        except ConnectionError:
+            request.ended = min(request.ended, self.world.now())
+        finally:
+            relay.open.discard(request)
+            writer.close()
+
+    async def _say(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        if self.random.random() >= 0.08 + self.piecewise:
+            writer.write(line)
+            return
+        at = self.random.randrange(1, len(line))
+        writer.write(line[:at])
+        await asyncio.sleep(self.random.uniform(0.001, 0.06))
+        writer.write(line[at:])
+
+    async def _hear(self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        oracle = self.world.oracle
+        gone = self.random.uniform(0.0, 0.3) if self.random.random() < self.leaving else None
+        until = request.sent + (gone if gone is not None else request.deadline_s + PATIENCE_S)
+        spoken = request.sent
+        while True:
+            left = until - self.world.now()
+            try:
+                line = await asyncio.wait_for(reader.readline(), max(0.0, min(left, 0.15)))
+            except TimeoutError:
+                now = self.world.now()
+                if now >= until:
+                    self._leave(request, writer, gone is not None)
+                    return
+                if request.answers and now > spoken + 0.15:
+                    spoken = now
+                    writer.write(b"a line\r\n")
+                continue
+            now = self.world.now()
+            if not line:
+                request.ended = now
+                if not request.answers:
+                    # Sent when the relay had ended its side already: what it never read it does not owe.
+                    request.well_formed = request.ended - request.sent > 0.0
+                return
+            word = line.split()[0].decode("ascii", "replace") if line.split() else ""
+            if word in ("MOVE", "BYE"):
+                request.moved = True
+                request.ended = now
+                oracle.requests[request.name] = request
+                return
+            if not request.answers or (word in ("BUSY", "ERR") and request.answers[0][1] != "UP"):
+                request.answers.append((now, word if word in ("UP", "BUSY") else "ERR"))
+                if word != "UP":
+                    until = now + 0.3  # a second answer would be heard
+
+    def _leave(self, request: Request, writer: asyncio.StreamWriter, early: bool) -> None:
+        how = self.random.randrange(3) if early else 0
+        request.left = self.world.now()
+        if how == 1:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            writer.transport.abort()
+        elif how == 2 and writer.can_write_eof():
+            writer.write_eof()
+
+    async def _rude(self, relay: Relay) -> None:
+        ends = await self._connect(relay)
+        if ends is None:
+            return
+        reader, writer = ends
+        with suppress(ConnectionError, TimeoutError):
+            writer.write(self.random.choice(NONSENSE))
+            await asyncio.wait_for(reader.read(1000), self.random.uniform(0.2, 4.0))
+        writer.close()
--- /dev/null
+++ b/benchmarks/soak/oracle.py
@@ -0,0 +1,285 @@
+"""Judges a run by what passed on wires: who sent what, when, on the one monotonic clock of the stand-ins.
+
+It sees no relay from inside. What happened to relays' processes (stopped, killed, told to end) it knows, since the soak
+did that. The slacks are those of the operators' pages; a time that this process itself was late to notice is added,
+since then nobody can say when the thing happened.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from math import inf, sqrt
+
+LIMIT_SLACK_S = 0.05  # each time limit on sockets is longer by this
+HELD_UP_S = 0.15  # a relay may be held up for so long between reading its clock and writing
+LOST_S = 0.5  # an answer so long after the client's time only earns nothing; later the request is lost
+GONE_S = 0.1  # an attempt that begins so long after the client has gone is for nobody
+TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
+START_SHARE = 2 / 3  # of what a cold backend got, from relays that were told of its start
+
+
+@unique
+class Rule(Enum):
+    """The value is the name in reports."""
+
+    LOST = "lost"
+    DUPLICATE = "duplicate"
+    DRAIN = "drain"
+    SLOW_START = "slow_start"
+    AFTER_CANCEL = "after_cancel"
+    UNANSWERED = "unanswered"
+    CRASHED = "crashed"
+    ANSWERS = "answers"
+    DEADLINE = "deadline"
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One connection of a relay to a backend on which a request came; seconds of the run."""
+
+    request: str
+    backend: str
+    zone: str
+    cell: int
+    first_byte: float
+    whole: float = inf  # when the line's last byte had come
+    answered: str = ""  # the backend's first line
+    over: float = inf  # when the relay's side had ended
+    ended_there: float = inf  # when the backend or the wire had ended it
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One client's connection."""
+
+    name: str
+    relay: str
+    cls: str
+    effect: str
+    group: str
+    window_s: float
+    deadline_s: float
+    sent: float = inf  # its line's last byte
+    left: float = inf  # when the client closed or cancelled
+    ended: float = inf  # when the relay's side ended
+    answers: list[tuple[float, str]] = field(default_factory=list)
+    broken_by_kill: bool = False
+    well_formed: bool = True
+    moved: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Violation:
+    rule: Rule
+    request: str
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """Of a cold backend, as the settings state it."""
+
+    cold_s: float
+    cold_share: float
+    fall_multiple: float
+    fall_s: float
+    rate: float  # requests a second that a warm backend can take
+
+    def allowed(self, age_s: float) -> float:
+        ramp = min(1.0, self.cold_share + (1.0 - self.cold_share) * age_s / self.cold_s)
+        calls = self.fall_multiple * ramp * self.rate * self.fall_s
+        chance = 3.0 * sqrt(calls) + 3.0 if calls < 30.0 else 2.0 * sqrt(calls) + 2.0
+        return calls + chance
+
+
+class Oracle:
+    def __init__(self, grace_s: float) -> None:
+        self.grace_s = grace_s
+        self.requests: dict[str, Request] = {}
+        self.attempts: dict[str, list[Attempt]] = {}
+        self.asleep: dict[str, list[tuple[float, float]]] = {}  # relay -> when it was stopped
+        self.killed: dict[str, list[float]] = {}
+        self.told: dict[tuple[str, str], list[tuple[float, bool]]] = {}  # relay, backend -> when, whether ready
+        self.changes: dict[str, list[tuple[float, bool]]] = {}  # backend -> when discovery had it, whether ready
+        self.down: list[tuple[float, float]] = []  # when discovery could not be reached
+        self.starts: dict[str, list[float]] = {}  # backend -> when it started anew
+        self.start_told: dict[tuple[str, str], list[float]] = {}
+        self.lags: list[tuple[float, float]] = []  # when this process was late, and by how much
+        self.crashes: list[str] = []
+        self.violations: list[Violation] = []
+
+    # --- spans that count for nobody --------------------------------------------------------------
+
+    def slept(self, relay: str, since: float, until: float) -> float:
+        """For how long of this time the relay was stopped."""
+        spans = self.asleep.get(relay, ())
+        return sum(max(0.0, min(end, until) - max(start, since)) for start, end in spans)
+
+    def lag(self, since: float, until: float) -> float:
+        """By how much this process was late at the most."""
+        return max((late for at, late in self.lags if since - late <= at <= until + late), default=0.0)
+
+    def slack(self, relay: str, since: float, until: float) -> float:
+        return self.slept(relay, since, until) + self.lag(since, until)
+
+    # --- the judgement ----------------------------------------------------------------------------
+
+    def judge(self, until: float, budget: Budget) -> list[Violation]:
+        for request in self.requests.values():
+            if request.sent < inf:
+                self._answers(request, until)
+                attempts = self.attempts.get(request.name, [])
+                self._cancelled(request, attempts)
+                self._late(request, attempts)
+                self._repeats(request, attempts)
+                self._drains(request, attempts)
+        for backend, starts in self.starts.items():
+            for start in starts:
+                self._cold(backend, start, budget)
+        for crash in self.crashes:
+            self._broken(Rule.CRASHED, "", crash)
+        return self.violations
+
+    def _broken(self, rule: Rule, request: str, what: str) -> None:
+        self.violations.append(Violation(rule, request, what))
+
+    def _answers(self, request: Request, until: float) -> None:
+        if len([word for _, word in request.answers if word in ("UP", "BUSY", "ERR")]) > 1:
+            self._broken(Rule.ANSWERS, request.name, f"answered {request.answers}")
+        due = request.sent + request.deadline_s + LIMIT_SLACK_S
+        due += self.slack(request.relay, request.sent, min(request.ended, due + 5.0))
+        if request.answers:
+            at = request.answers[0][0]
+            if at > due + LOST_S:
+                self._broken(Rule.LOST, request.name, f"answered {at - request.sent:.3f} s after it was sent")
+            self._cut(request)
+            return
+        if request.left < min(request.ended, due + LOST_S) or request.broken_by_kill:
+            return
+        if request.ended < inf:
+            after = request.ended - request.sent
+            self._broken(Rule.UNANSWERED, request.name, f"closed with no answer {after:.3f} s after it was sent")
+        elif until > due + LOST_S:
+            self._broken(Rule.LOST, request.name, f"no answer {until - request.sent:.3f} s after it was sent")
+
+    def _cut(self, request: Request) -> None:
+        """A connection that stood is ended by its backend, its client, or with MOVE."""
+        if request.answers[0][1] != "UP" or request.moved or request.broken_by_kill or request.ended == inf:
+            return
+        attempts = self.attempts.get(request.name, [])
+        lag = self.lag(request.ended - 1.0, request.ended)
+        if request.left > request.ended and all(a.ended_there > request.ended + lag for a in attempts):
+            at = request.ended - request.sent
+            self._broken(Rule.LOST, request.name, f"cut off without MOVE {at:.3f} s after it was sent")
+
+    def _cancelled(self, request: Request, attempts: list[Attempt]) -> None:
+        for attempt in attempts:
+            late = attempt.first_byte - request.left
+            if late > GONE_S + self.slack(request.relay, request.left, attempt.first_byte):
+                what = f"an attempt at {attempt.backend} begins {late:.3f} s after the client left"
+                self._broken(Rule.AFTER_CANCEL, request.name, what)
+
+    def _late(self, request: Request, attempts: list[Attempt]) -> None:
+        due = request.sent + request.deadline_s + LIMIT_SLACK_S + HELD_UP_S
+        for attempt in attempts:
+            if attempt.first_byte > due + self.slack(request.relay, request.sent, attempt.first_byte):
+                after = attempt.first_byte - request.sent
+                what = f"an attempt at {attempt.backend} begins {after:.3f} s after it was sent"
+                self._broken(Rule.DEADLINE, request.name, what)
+
+    def _repeats(self, request: Request, attempts: list[Attempt]) -> None:
+        made = sorted((a for a in attempts if a.whole < inf), key=lambda attempt: attempt.whole)
+        ran = next((attempt for attempt in made if attempt.answered != "BUSY"), None)  # the first that may have run
+        for number, attempt in enumerate(made):
+            for earlier in made[:number]:
+                if earlier.answered == "BUSY" and earlier.over <= attempt.first_byte + LIMIT_SLACK_S:
+                    continue
+                lag = self.lag(earlier.whole, attempt.whole)
+                if earlier.over > attempt.whole + LIMIT_SLACK_S + lag and not earlier.answered:
+                    self._broken(Rule.DUPLICATE, request.name, f"two attempts are out, at {earlier.backend} and "
+                                 f"{attempt.backend}")  # fmt: skip
+                elif earlier.answered != "BUSY" and not self._may_repeat(request, ran or earlier, attempt):
+                    after = attempt.whole - earlier.whole
+                    self._broken(Rule.DUPLICATE, request.name, f"runs at {earlier.backend} ({earlier.answered or 'no'} "
+                                 f"answer) and {after:.3f} s later at {attempt.backend}")  # fmt: skip
+                    return
+
+    def _may_repeat(self, request: Request, first: Attempt, attempt: Attempt) -> bool:
+        if request.effect == "pure":
+            return True
+        if request.effect == "side_effect":
+            return False
+        within = request.window_s + LIMIT_SLACK_S + HELD_UP_S + self.slack(request.relay, first.whole, attempt.whole)
+        same = {"all": True, "zone": first.zone == attempt.zone, "cell": first.cell == attempt.cell}[request.group]
+        return same and attempt.first_byte - first.whole <= within
+
+    def _drains(self, request: Request, attempts: list[Attempt]) -> None:
+        for attempt in attempts:
+            told = self._not_ready_since(request.relay, attempt.backend, attempt.first_byte)
+            if told is None:
+                continue
+            late = attempt.first_byte - told
+            if late > self.grace_s + LIMIT_SLACK_S + self.slack(request.relay, told, attempt.first_byte):
+                what = f"sent to {attempt.backend} {late:.3f} s after its drain or end counts as told"
+                self._broken(Rule.DRAIN, request.name, what)
+
+    def _not_ready_since(self, relay: str, backend: str, at: float) -> float | None:
+        """Since when the relay counts as told that the backend is not ready; None: it does not."""
+        found = None
+        for when, ready in self.told.get((relay, backend), ()):
+            if when <= at:
+                found = None if ready else (when if found is None else found)
+        changes = [(when, ready) for when, ready in self.changes.get(backend, ()) if when <= at]
+        if not changes or changes[-1][1]:
+            return found if not changes else None
+        begins = len(changes) - 1
+        while begins and not changes[begins - 1][1]:
+            begins -= 1
+        when = changes[begins][0]
+        for start, end in self.down:
+            if start - TOLD_S <= when <= end:
+                when = max(when, end)
+        return min(found, when + TOLD_S) if found is not None else when + TOLD_S
+
+    def _cold(self, backend: str, start: float, budget: Budget) -> None:
+        sent = sorted(
+            (attempt.whole, self.requests[attempt.request].relay)
+            for attempts in self.attempts.values()
+            for attempt in attempts
+            if attempt.backend == backend and start <= attempt.whole < start + budget.cold_s
+        )
+        for number, (at, _) in enumerate(sent):
+            window = [one for one in sent[: number + 1] if one[0] > at - budget.fall_s]
+            if len(window) <= budget.allowed(at - start):
+                continue
+            told = [one for one in window if any(start <= when <= one[0]
+                    for when in self.start_told.get((one[1], backend), ()))]  # fmt: skip
+            if len(told) > START_SHARE * len(window):
+                what = f"{backend} got {len(window)} in {budget.fall_s:g} s, {at - start:.2f} s after its start, "
+                self._broken(Rule.SLOW_START, "", what + f"{budget.allowed(at - start):.1f} at most")
+                return
+
+    # --- reports ----------------------------------------------------------------------------------
+
+    def timeline(self, name: str) -> list[str]:
+        """All that is known of one request, in order."""
+        request = self.requests.get(name)
+        if request is None:
+            return []
+        rows = [(request.sent, f"sent to {request.relay} class={request.cls} deadline {request.deadline_s:.3f} s"),
+                (request.left, "the client leaves"), (request.ended, "the relay ends the connection")]  # fmt: skip
+        rows += [(at, f"answer {word}") for at, word in request.answers]
+        for attempt in self.attempts.get(name, []):
+            rows += [(attempt.first_byte, f"first byte at {attempt.backend}"),
+                     (attempt.whole, f"whole at {attempt.backend}, which answers {attempt.answered or 'nothing'}"),
+                     (attempt.over, f"the attempt at {attempt.backend} is over")]  # fmt: skip
+        for start, end in self.asleep.get(request.relay, ()):
+            rows += [(start, f"{request.relay} is stopped"), (end, f"{request.relay} goes on")]
+        rows += [(at, f"{request.relay} is killed") for at in self.killed.get(request.relay, ())]
+        near = [row for row in rows if request.sent - 1.0 <= row[0] <= request.sent + 6.0]
+        return [f"{at:8.3f} {what}" for at, what in sorted(near)]
+
+    def counts(self) -> Counter[str]:
+        return Counter(violation.rule.value for violation in self.violations)
--- /dev/null
+++ b/benchmarks/soak/planted.py
@@ -0,0 +1,154 @@
+"""A relay with one planted defect, for the soak's own tests: the oracle has to find each of them.
+
+`python -m benchmarks.soak.planted NAME` starts the product with that part of it replaced. Nothing of it is in the
+product: the replacement is made in this process, before the relay begins.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from yarrowspindle.decisions import gate
+from yarrowspindle.interface import Effect, Outcome, State
+from yarrowspindle.program import line_front
+from yarrowspindle.program.main import main
+from yarrowspindle.routing import reducer
+from yarrowspindle.routing.ending import OUTCOMES, Ending
+from yarrowspindle.transport import connecting, submitter
+
+
+def repeat_what_ran() -> None:
+    """A class that may run once is repeated as any other."""
+    gate.repeat_within = lambda *given: inf
+
+
+def reset_never_ran() -> None:
+    """A connection that broke after the request was written counts as one that never came up."""
+    OUTCOMES[Ending.BROKEN] = Outcome.CONNECT_FAILED
+
+
+def repeat_late() -> None:
+    """A keyed request is repeated after its window."""
+    real = gate.repeat_within
+
+    def within(effect: Effect, ran_at: float | None, window_ms: float, slack_ms: float, now: float) -> float:
+        return inf if effect is Effect.KEYED else real(effect, ran_at, window_ms, slack_ms, now)
+
+    gate.repeat_within = within
+
+
+def ignore_drains() -> None:
+    """A backend that drains is taken for a ready one."""
+    real = reducer.Reducer._list
+
+    def listed(self: reducer.Reducer, event: Any, said: bool = True) -> None:
+        for machine in event.machines:
+            if machine.state is State.DRAINING:
+                machine.state = State.READY
+        real(self, event, said)
+
+    reducer.Reducer._list = listed  # type: ignore[method-assign]
+
+
+def go_on_after_leaving() -> None:
+    """That a client has left while its request waits is not noticed."""
+    submitter.Submitter._leave = lambda self: None  # type: ignore[method-assign]
+
+
+def forget_a_request() -> None:
+    """One request in fifty is taken and never looked at again."""
+    real = line_front.LineFront.job_came
+
+    def came(self: line_front.LineFront, side: Any, opened: Any) -> None:
+        if opened.key % 50:
+            real(self, side, opened)
+        else:
+            self.door.known(side)
+            side.job = self.hub.new_job(self)
+
+    line_front.LineFront.job_came = came  # type: ignore[method-assign]
+
+
+def close_unanswered() -> None:
+    """Whoever is refused hears nothing: the connection is ended."""
+    real = line_front.LineFront._answer
+
+    def answer(self: line_front.LineFront, job: int, line: bytes) -> None:
+        real(self, job, b"" if line.startswith(b"BUSY") else line)
+
+    line_front.LineFront._answer = answer  # type: ignore[method-assign]
+
+
+def no_slow_start() -> None:
+    """A backend that has just started is taken for a warm one."""
+    real = reducer.Reducer._list
+
+    def listed(self: reducer.Reducer, event: Any, said: bool = True) -> None:
+        for machine in event.machines:
+            machine.started_ms = 0.0
+        real(self, event, said)
+
+    reducer.Reducer._list = listed  # type: ignore[method-assign]
+
+
+def late_connections() -> None:
+    """The time limit of a connection cancels it, as before the hunt: what was written counts as never sent."""
+
+    class Late(connecting.Connecting):
+        async def _connect(self, loop: asyncio.AbstractEventLoop) -> None:
+            try:
+                connect = loop.create_connection(lambda: self.protocol, *self.address)
+                await asyncio.wait_for(connect, self.within_s)
+            except OSError as error:
+                self.failed(connecting.ConnectFailure(error))
+
+        def start(self, within_s: float | None = None) -> None:
+            self.within_s = within_s
+            super().start(None)
+
+    setattr(line_front, "Connecting", Late)  # noqa: B010  # it is imported there by name
+
+
+def end_at_once() -> None:
+    """At SIGTERM the process ends without a word to anybody."""
+    line_front.LineFront.end = lambda self, within_s: asyncio.sleep(0)  # type: ignore[method-assign]
+    from yarrowspindle.program.hub import Hub
+
+    Hub.stop = lambda self: 50.0  # type: ignore[method-assign]
+
+
+def answer_late() -> None:
+    """The deadline is taken for twice as long."""
+    real = reducer.Reducer._arrived
+
+    def arrived(self: reducer.Reducer, event: Any) -> None:
+        event.left_ms += 900.0
+        real(self, event)
+
+    reducer.Reducer._arrived = arrived  # type: ignore[method-assign]
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    defect.__name__: defect
+    for defect in (
+        repeat_what_ran,
+        reset_never_ran,
+        repeat_late,
+        ignore_drains,
+        go_on_after_leaving,
+        forget_a_request,
+        close_unanswered,
+        no_slow_start,
+        late_connections,
+        end_at_once,
+        answer_late,
+    )
+}
+
+if __name__ == "__main__":
+    DEFECTS[sys.argv[1]]()
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/soak/relays.py
@@ -0,0 +1,187 @@
+"""Relays: real processes by the deploy file's `run`, with the shim loaded, steered by signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+import tomllib
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from benchmarks.soak.discovery import Discovery
+from benchmarks.soak.oracle import Request
+from benchmarks.soak.shim import Field, Page
+from benchmarks.soak.world import World
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_S, ASK_S = 10.0, 0.05
+LONGEST_S, KILL_S = 3.0, 0.7  # SIGKILL comes no sooner after SIGTERM than the longest deadline and this
+LOG_BAD = (b"Traceback (most recent call last)", b" invariant ", b"Exception in callback")
+
+
+def run_command() -> str:
+    text = (ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8")
+    return str(tomllib.loads(text)["run"])
+
+
+class Relay:
+    """One relay, as often as its process is started. planted: a defect of the soak's own build, for its tests."""
+
+    def __init__(self, world: World, number: int, discovery: Discovery, planted: str) -> None:
+        self.world, self.number, self.discovery, self.planted = world, number, discovery, planted
+        self.name, self.life = f"r{number}", 0
+        self.address = world.port(number % 90)
+        self.discoveries = [world.port(number % 90) for _ in range(2)]
+        self.at = 0  # which of them the configuration names
+        self.random = Random(f"relay {world.plan.seed} {number}")
+        self.process: asyncio.subprocess.Process | None = None
+        self.page: Page | None = None
+        self.serves = self.ending = False
+        self.told_to_end = 0.0
+        self.open: set[Request] = set()
+        self.longest_s = max(c["deadline_ms"] for c in world.plan.settings["categories"]) / 1000.0
+        self.stepped_ms = world.plan.stepped_ms if number % 2 else 0
+        self.known: dict[str, Any] | None = None
+        self.busy = asyncio.Lock()  # one signal's story at a time
+
+    @property
+    def instance(self) -> str:
+        return f"{self.name}.{self.life}"
+
+    def instance_at(self, _sockname: object) -> str:
+        return self.instance
+
+    def takes(self, now: float, follow_s: float) -> bool:
+        """Whether the front sends connections here."""
+        return self.serves and (not self.ending or now < self.told_to_end + follow_s)
+
+    def log_path(self) -> Path:
+        return self.world.folder / f"{self.instance}.log"
+
+    def write_config(self) -> Path:
+        settings = self.world.plan.settings | {"zone": self.number % 2, "slot_no": self.number}
+        if self.known is None or self.random.random() < 0.5:
+            self.known = self.discovery.whole()
+        config = {
+            "name": self.name,
+            "listen": "{}:{}".format(*self.address),
+            "discovery": "{}:{}".format(*self.discoveries[self.at]),
+            "seed": f"{self.world.plan.seed * 1000 + self.number * 10 + self.life:x}",
+            "settings": settings,
+            "known": self.known | {"revision": 1},
+            "limits": {"sockets": 0},
+        }
+        path = self.world.folder / f"{self.name}.json"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(config))
+        new.replace(path)
+        return path
+
+    async def start(self) -> None:
+        self.life += 1
+        self.ending = False
+        for address in self.discoveries:
+            await self.discovery.open(address, self.instance)
+        operator = self.world.folder / "operator.toml"
+        operator.write_text('[log]\nlevel = "DEBUG"\n')
+        env = {key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")}
+        env |= {"ROUTER_CONFIG": str(self.write_config()), "YARROWSPINDLE_OPERATOR": str(operator)}
+        if self.world.library is not None:
+            self.page = Page(self.world.folder / f"{self.instance}.page")
+            self.page.set(Field.WALL_NS, self.stepped_ms * 1_000_000)
+            env |= {"LD_PRELOAD": str(self.world.library), "SOAK_SHIM_PAGE": str(self.page.path),
+                    "SOAK_SHIM_FOLDER": str(self.world.folder / "kept")}  # fmt: skip
+        command = run_command()
+        if self.planted:
+            command = f"exec {sys.executable} -B -m benchmarks.soak.planted {self.planted}"
+        with self.log_path().open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", command, cwd=ROOT, env=env, stderr=log, stdout=log)  # fmt: skip
+        await self._ready()
+
+    async def _ready(self) -> None:
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            with suppress(OSError, TimeoutError):
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.address), 1.0)
+                writer.write(b"PING\r\n")
+                answer = await asyncio.wait_for(reader.readline(), 1.0)
+                writer.close()
+                if answer == b"PONG\r\n":
+                    self.serves = True
+                    return
+            await asyncio.sleep(ASK_S)
+        self.world.oracle.crashes.append(f"{self.instance} is not ready after {READY_S:g} s")
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        if self.alive and self.process is not None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def stop(self, for_s: float) -> None:
+        """It stands still for so long."""
+        async with self.busy:
+            began, instance = self.world.now(), self.instance
+            self.send(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            self.send(signal.SIGCONT)
+            self.world.oracle.asleep.setdefault(instance, []).append((began, self.world.now()))
+
+    async def kill(self) -> None:
+        async with self.busy:
+            self.serves = False
+            now = self.world.now()
+            self.world.oracle.killed.setdefault(self.instance, []).append(now)
+            for request in self.open:
+                request.broken_by_kill = True
+            self.send(signal.SIGKILL)
+            if self.process is not None:
+                await self.process.wait()
+            self._read_log()
+
+    async def end(self) -> None:
+        """As at a planned restart; it has to be gone before SIGKILL would come."""
+        self.ending, self.told_to_end = True, self.world.now()
+        began, instance = self.told_to_end, self.instance
+        self.send(signal.SIGTERM)
+        if self.random.random() < 0.2:
+            self.send(self.random.choice((signal.SIGTERM, signal.SIGHUP)))
+        limit = min(self.longest_s, LONGEST_S) + KILL_S
+        while self.alive:
+            now = self.world.now()
+            spent = now - began - self.world.oracle.slack(instance, began, now)
+            if spent > limit + 0.05:
+                self.world.oracle.crashes.append(
+                    f"{instance} still runs {spent:.2f} s after SIGTERM, {limit:.2f} allowed"
+                )
+                await self.kill()
+                break
+            await asyncio.sleep(0.01)
+        self.serves = False
+        if self.process is not None and self.process.returncode not in (0, -signal.SIGKILL, None):
+            self.world.oracle.crashes.append(f"{instance} ended with {self.process.returncode}")
+        self._read_log()
+
+    def _read_log(self) -> None:
+        for line in self.log_path().read_bytes().splitlines():
+            if any(bad in line for bad in LOG_BAD):
+                self.world.oracle.crashes.append(f"{self.instance} logged: {line[-300:].decode('utf-8', 'replace')}")
+                return
+
+    def look(self) -> None:
+        """Whether it has ended by itself."""
+        if self.serves and not self.ending and not self.alive and not self.busy.locked():
+            self.serves = False
+            code = self.process.returncode if self.process is not None else None
+            self.world.oracle.crashes.append(f"{self.instance} ended by itself with {code}")
+            self._read_log()
--- /dev/null
+++ b/benchmarks/soak/world.py
@@ -0,0 +1,56 @@
+"""What all parties of a run share: its clock, its oracle, its random numbers, and addresses that nobody else has."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+from random import Random
+
+from benchmarks.soak.oracle import Oracle
+from benchmarks.soak.plan import Plan
+
+LAG_LOOK_S, LAG_LEAST_S = 0.005, 0.01
+LINE_END = b"\r\n"
+FIRST_PORT = 20_000
+
+
+class World:
+    def __init__(self, plan: Plan, folder: Path, library: Path | None) -> None:
+        self.plan, self.folder, self.library = plan, folder, library
+        self.started = time.monotonic()
+        self.oracle = Oracle(plan.settings["obligations"]["drain_grace_ms"] / 1000.0)
+        self.random = Random(f"world {plan.seed}")
+        self.net = f"127.{60 + os.getpid() % 60}.{1 + os.getpid() // 60 % 200}"
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.ports = 0
+
+    def now(self) -> float:
+        return time.monotonic() - self.started
+
+    def port(self, host: int) -> tuple[str, int]:
+        """An address of the run's own part of loopback, below the ports that Linux gives out by itself."""
+        self.ports += 1
+        return f"{self.net}.{1 + host}", FIRST_PORT + self.ports
+
+    def start(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            assert error is not None
+            raise error
+
+    async def watch_lag(self) -> None:
+        """How late this process is itself: the oracle cannot judge closer than that."""
+        while True:
+            due = time.monotonic() + LAG_LOOK_S
+            await asyncio.sleep(LAG_LOOK_S)
+            late = time.monotonic() - due
+            if late >= LAG_LEAST_S:
+                self.oracle.lags.append((self.now(), late))
--- /dev/null
+++ b/tests/test_list_calls.py
@@ -0,0 +1,86 @@
+"""Calls for the list that are answered slowly, and members that make no sense, on the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.stand_ins import HEAD, SETTINGS, Peer, World, run
+from yarrowspindle.interface import State
+from yarrowspindle.program.config import ConfigError, read_config
+from yarrowspindle.protocol.machines import ListError, Names, parse_list
+from yarrowspindle.routing.messages import ListTold, Machine, Probe, Unprobe
+from yarrowspindle.routing.reducer import Reducer
+
+SLOW_S = 0.9
+MEMBER = {"id": "s-1", "host_port": "127.0.0.1:3000", "phase": "ready", "size": 1.0, "up_since_ms": 0}
+SENSELESS: list[dict[str, Any]] = [
+    {"size": float("nan")},
+    {"size": float("inf")},
+    {"size": -1.0},
+    {"size": 1e300},
+    {"up_since_ms": float("nan")},
+    {"up_since_ms": float("inf")},
+    {"up_since_ms": -5.0},
+    {"cell": float("inf")},
+    {"host_port": "127.0.0.1:70000"},
+    {"host_port": "127.0.0.1:0"},
+    {"id": ""},
+    {"phase": 7},
+]
+
+
+@pytest.mark.parametrize("discovery", ("automatic", "subscribe"))
+def test_a_list_that_takes_its_time_is_taken_all_the_same(tmp_path: Path, discovery: str) -> None:
+    """Where lists are pushed the call is renewed before so slow an answer comes: each renewal must not end the last."""
+
+    async def body(w: World) -> None:
+        async def answer(peer: Peer) -> None:
+            while await peer.hear():
+                pass
+            await asyncio.sleep(SLOW_S)
+            peer.writer.write(HEAD + w.members(True, w.member("s-1", "draining"), w.member("s-2")))
+
+        async def serve() -> None:
+            while True:
+                asyncio.ensure_future(answer(await w.list.came.get()))
+
+        serving = asyncio.ensure_future(serve())
+        await asyncio.wait_for(w.logged("s-1 draining"), 6.0)
+        serving.cancel()
+
+    run(tmp_path, body, discovery=discovery)
+
+
+@pytest.mark.parametrize("changes", SENSELESS, ids=str)
+def test_a_member_that_makes_no_sense_is_refused_with_its_list(changes: dict[str, Any]) -> None:
+    with pytest.raises(ListError):
+        parse_list({"revision": 1, "members": [MEMBER | changes]}, Names())
+    with pytest.raises(ListError):
+        parse_list({"revision": float("inf"), "members": [MEMBER]}, Names())
+    told = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
+    known = {"revision": 1, "members": [MEMBER | changes]}
+    with pytest.raises(ConfigError):
+        read_config(json.loads(json.dumps(told | {"known": known})))
+
+
+def test_a_probe_is_taken_back_where_its_server_is_told_to_drain_or_to_be_gone_or_starts_anew() -> None:
+    from tests.helpers import settings
+    from yarrowspindle.interface import ListKind
+
+    reducer = Reducer(settings(may_probe=True, report=("x0", "rif")), 1, 0.0)
+    machines = [Machine(f"s-{n}", ("127.0.0.1", n)) for n in range(1, 5)]
+    reducer.step(0.0, ListTold(ListKind.FULL, machines))
+    changed = [
+        Machine("s-1", ("127.0.0.1", 1), State.DRAINING),
+        Machine("s-2", ("127.0.0.1", 2), State.GONE),
+        Machine("s-3", ("127.0.0.1", 3), started_ms=5.0),
+    ]
+    effects = reducer.step(10.0, ListTold(ListKind.DELTA, changed))
+    taken_back = {effect.node for effect in effects if isinstance(effect, Unprobe)}
+    assert taken_back == {"s-1", "s-2", "s-3"}
+    assert not {effect.node for effect in effects if isinstance(effect, Probe)} & {"s-1", "s-2"}
--- a/yarrowspindle/routing/messages.py
+++ b/yarrowspindle/routing/messages.py
@@ -341,6 +341,13 @@
     within_ms: float
 
 
+@dataclass(slots=True)
+class Unprobe:
+    """Take back what is asked of this node, and ask nothing more on its connection."""
+
+    node: str
+
+
 @dataclass(slots=True)
 class NodeGone:
     """The machine list says that the node is gone; a wire on which that does not show ends what it held."""
@@ -353,5 +360,6 @@
     text: str
 
 
-Effect = (Reach | Ask | Drop | Join | Requeue | Deny | Move | Close | Wake | Unwake | Watch | Probe | NodeGone
+Effect = (Reach | Ask | Drop | Join | Requeue | Deny | Move | Close | Wake | Unwake | Watch | Probe | Unprobe
+    | NodeGone
           | Note)  # fmt: skip
