Hear a pushed list however slowly it comes, refuse members of no sense, take back probes of told servers

Cause: where lists are pushed the call is renewed at each half of the grace, 250 ms at least, and each renewal ended the call before it: a service that answers later than that was never heard, and drains and starts never taken. parse_list took NaN, infinite, negative figures and ports over 65535 (one NaN as a size makes every draw of the ring senseless), and OverflowError went uncaught. A probe whose connection came up after its server's drain was told was written all the same. Ruled out: renewing later (what the agent has counts as told at once, also on a watch that fell silent). Change: a call that has told nothing goes on beside those after it, 12 at most, the first that is answered counts; figures and names are checked; Unprobe takes a probe back.

--- a/examples/plan_status.py
+++ b/examples/plan_status.py
@@ -96,11 +96,12 @@
         await asyncio.sleep(0.4)
 
 
-async def show(seconds: float, clients: int) -> Counter[str]:
+async def show(seconds: float, clients: int, seed: int | None = None) -> Counter[str]:
+    """seed: of the draws; drawn by the system where it is left out."""
     nodes = [StandInNode(f"node-{n}") for n in range(3)]
     machines = [await node.open() for node in nodes]
     source = StaticList(machines)
-    placer = Placer(LibrarySettings(classes=(JobClass("plan-status"),)), source)
+    placer = Placer(LibrarySettings(classes=(JobClass("plan-status"),)), source, seed=seed)
     seen: Counter[str] = Counter()
     async with AsgiHost(make_app(placer)) as host:
         print(f"serving at http://127.0.0.1:{host.port}/plans/1 (Accept: text/event-stream)")
--- a/yarrowspindle/program/config.py
+++ b/yarrowspindle/program/config.py
@@ -100,7 +100,7 @@
             operator=parse_address(str(data["operator"])) if data.get("operator") else None,
             raw=raw,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, ListError, SettingsError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, ListError, SettingsError) as error:
         raise ConfigError(f"the configuration makes no sense: {error!r}") from error
 
 
--- a/yarrowspindle/program/hub.py
+++ b/yarrowspindle/program/hub.py
@@ -68,6 +68,7 @@
                              self.bad_probes.warn)  # fmt: skip
         self.metrics.sources["probes"] = self.prober.counts
         self.runtime.probe = self.prober.probe
+        self.runtime.unprobe = lambda effect: self.prober.leave({effect.node})
 
     def start(self) -> None:
         self.runtime.start()
--- a/yarrowspindle/protocol/machines.py
+++ b/yarrowspindle/protocol/machines.py
@@ -13,6 +13,8 @@
 
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 LONGEST = 4 << 20
+PORT_MOST, CELL_MOST, SIZE_MOST = 65_535, 1e9, 1e9
+TIME_MOST_MS = 1e14  # of a Unix time: the year 5138
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
@@ -34,30 +36,45 @@
 
 def parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) <= PORT_MOST:
         raise ListError(f"not an address: {text!r}")
     return host, int(port)
 
 
+def parse_name(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ListError(f"not a name: {value!r}")
+    return value
+
+
+def parse_figure(value: object, default: float, most: float) -> float:
+    """A number from 0 up to `most`; the default where it is absent or 0."""
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value <= most:
+        raise ListError(f"not a figure from 0 to {most:g}: {value!r}")
+    return float(value) or default
+
+
 def parse_list(data: object, names: Names, kind: ListKind | None = None) -> ListTold:
     if not isinstance(data, dict) or not isinstance(data.get("members"), list):
         raise ListError("a list without members")
     try:
         machines = [
             Machine(
-                name=str(m["id"]),
+                name=parse_name(m["id"]),
                 address=parse_address(m["host_port"]),
                 state=STATES[m["phase"]],
                 zone=place(names.zones, m.get("locality")),
-                cell=int(m.get("cell") or 0),
+                cell=int(parse_figure(m.get("cell"), 0.0, CELL_MOST)),
                 kind=place(names.kinds, m.get("flavor")),
-                capacity=float(m.get("size") or 1.0),
-                started_ms=float(m.get("up_since_ms") or 0.0),
+                capacity=parse_figure(m.get("size"), 1.0, SIZE_MOST),
+                started_ms=parse_figure(m.get("up_since_ms"), 0.0, TIME_MOST_MS),
             )
             for m in data["members"]
         ]
         version = int(data.get("revision") or 0)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"a member that makes no sense: {error!r}") from error
     if kind is None:
         kind = ListKind.FULL if data.get("complete") else ListKind.DELTA
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -56,6 +56,7 @@
     Stop,
     SubmitterLeft,
     TurnsTold,
+    Unprobe,
     Unwake,
     Wake,
     Watch,
@@ -157,7 +158,7 @@
         # A Cancel needs nothing more: it only comes for a job whose submitter left, and _left ends the attempt.
 
     def _probe(self, node: Node | None) -> None:
-        if node is not None and node.state is State.READY:  # of any other the module knows enough
+        if node is not None and not gate.may_use(node.state):  # of any other the module knows enough
             self.effects.append(Probe(node.name, node.address, PROBE_MS))
 
     def _probe_over(self, event: ProbeOver) -> None:
@@ -480,6 +481,8 @@
                 self.effects.append(Drop(job.id, job.attempt, why or Ending.NEVER_SENT))
                 self._ended(job, Ending.NEVER_SENT, False)
         for node in changed:
+            if self.settings.may_probe and (node.name in renewed or gate.may_use(node.state)):
+                self.effects.append(Unprobe(node.name))
             if node.state is State.GONE and touched[node.name] is not State.GONE:
                 self.effects.append(NodeGone(node.name))
             self._forget(node)
--- a/yarrowspindle/runtime/list_watch.py
+++ b/yarrowspindle/runtime/list_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -12,6 +13,8 @@
 from yarrowspindle.transport.connecting import Connecting
 from yarrowspindle.transport.machine_list import WatchSide
 
+SLOW_MOST = 12  # calls under way beside the newest; each ends by itself after its time
+
 
 class ListWatch:
     """`told` is given each list; `failed` is told why a watch is over. Whoever asks for another is the module."""
@@ -20,7 +23,8 @@
         self.names, self.told, self.failed = names, told, failed
         self.watch: WatchSide | None = None
         self.watch_at: Address | None = None
-        self.watching: Connecting | None = None
+        self.connecting: dict[WatchSide, Connecting] = {}
+        self.slow: deque[WatchSide] = deque()  # earlier calls at the same address that have told nothing yet
         self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
         self.closed = False
         self.heard_at: float | None = None  # when discovery, at the address below, last said anything after a list
@@ -31,31 +35,53 @@
     def ask(self, version: int, address: Address, renew: bool = False) -> None:
         """Watches the list at this address from this version on; a watch that is there already goes on, or is renewed.
 
-        A watch that is renewed tells on until the new one has told something; so one that has gone silent is found."""
+        A watch that is renewed tells on until the new one has told something; so one that has gone silent is found. A
+        call that has told nothing yet goes on beside those after it: a service that answers each later than the next is
+        made is heard all the same."""
         if self.closed or self.watch is not None and self.watch_at == address and not renew:
             return
         if self.watch is not None:
-            replaced, self.watch = self.watch, None
-            if replaced.told and self.former is None:
-                self.former = replaced
-            else:  # it never told anything: nothing is lost with it
-                replaced.end("another is opened in its place")
-            if self.watching is not None:
-                self.watching.cancel()
+            self._replace(self.watch, address)
         self.version = max(version, self.version) if version else 0
         self.watch_at = address
         self.watch = watch = WatchSide(self, self.names, address, version)
         watch.begin()
-        self.watching = Connecting(watch, address, lambda failure: watch.end(str(failure)))
-        self.watching.start()
+        connecting = Connecting(watch, address, lambda failure: watch.end(str(failure)))
+        self.connecting[watch] = connecting
+        connecting.start()
+
+    def _replace(self, replaced: WatchSide, address: Address) -> None:
+        self.watch = None
+        if replaced.told and self.former is None:
+            self.former = replaced
+        elif not replaced.told and replaced.address == address:
+            self.slow.append(replaced)
+            if len(self.slow) > SLOW_MOST:
+                self._end(self.slow.popleft(), "too many calls are under way")
+        else:  # nothing is lost with it
+            self._end(replaced, "another is opened in its place")
+
+    def _end(self, watch: WatchSide, why: str) -> None:
+        connecting = self.connecting.pop(watch, None)
+        if connecting is not None:
+            connecting.cancel()
+        watch.end(why)
+
+    def _in_place(self, watch: WatchSide) -> None:
+        """An earlier call is answered: its watch takes the place of those made after it."""
+        self.slow.remove(watch)
+        others = [*self.slow, self.watch]
+        self.slow.clear()
+        self.watch = watch
+        for other in others:
+            if other is not None:
+                self._end(other, "an earlier call was answered")
 
     def close(self) -> None:
         self.closed = True
-        for watch in (self.watch, self.former):
+        for watch in (self.watch, self.former, *self.slow):
             if watch is not None:
-                watch.end("closed")
-        if self.watching is not None:
-            self.watching.cancel()
+                self._end(watch, "closed")
 
     # --- reports of the transport ---------------------------------------------------------------
 
@@ -73,6 +99,8 @@
     def list_told(self, watch: WatchSide, told: ListTold) -> None:
         """Word that is older than what is known would undo drains. A whole list like that is asked for once more, and
         believed then: the service may count anew."""
+        if watch in self.slow:
+            self._in_place(watch)
         if watch is self.watch and 0 < told.version < self.version:
             if told.kind is ListKind.DELTA:
                 return
@@ -92,12 +120,13 @@
             self.told(told)
 
     def watch_over(self, watch: WatchSide, why: str) -> None:
+        self.connecting.pop(watch, None)
+        if watch in self.slow:
+            self.slow.remove(watch)
         if self.former is watch:
             self.former = None
         elif self.watch is watch:
             self.watch = None
-            if self.watching is not None:
-                self.watching.cancel()
             if not self.closed:
                 self.failed(why)
                 self.told(ListTold(ListKind.FAILED))
--- a/yarrowspindle/runtime/runtime.py
+++ b/yarrowspindle/runtime/runtime.py
@@ -17,6 +17,7 @@
     Probe,
     Stalled,
     StepFailed,
+    Unprobe,
     Unwake,
     Wake,
     Watch,
@@ -59,6 +60,7 @@
         self.jobs = 0
         self.watch: Callable[[Watch], None] = lambda effect: None
         self.probe: Callable[[Probe], None] = lambda effect: None
+        self.unprobe: Callable[[Unprobe], None] = lambda effect: None
         self.seen: list[Callable[[float, Event], None]] = []
         self.effect: Callable[[Effect], None] | None = None
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -66,6 +68,7 @@
             Unwake: lambda effect: self.timers.cancel(effect.what),
             Watch: lambda effect: self.watch(effect),
             Probe: lambda effect: self.probe(effect),
+            Unprobe: lambda effect: self.unprobe(effect),
             Note: lambda effect: self.log("info", effect.text),
             NodeGone: self._node_gone,
         }
