Show three finds by tests that fail: a taken address at the start, reports, a move with one side missing

Cause, by reading: serve raises where its listener or the operators' API cannot be had at once; report is a task that nobody awaits, and one error ends it for good; _move needs both sides and otherwise forgets the client. Ruled out: that a supervisor's restart would do (ready within 10 s is promised, and the moment may last).

--- /dev/null
+++ b/tests/test_starts_and_ends.py
@@ -0,0 +1,157 @@
+"""Starts while an address or descriptors cannot be had for a moment; ends of which one side is missing."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import socket
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from tests.ports import free_port
+from tests.stand_ins import ROOT
+from tests.test_connecting import Backend, config
+from yarrowspindle.program import metrics
+from yarrowspindle.program.config import MetricsConfig, read_config
+from yarrowspindle.program.hub import Hub
+from yarrowspindle.program.line_front import LineFront
+from yarrowspindle.routing.messages import Move
+from yarrowspindle.runtime import SystemClock
+from yarrowspindle.transport.receivers import Datagrams
+from yarrowspindle.transport.side import Side
+
+WAIT_S = 10.0
+
+
+@pytest.mark.parametrize("which", ("listen", "operator"))
+def test_a_relay_whose_address_is_taken_for_a_moment_serves_once_it_is_free(tmp_path: Path, which: str) -> None:
+    """So does one that gets no descriptor just then: ready within 10 s, not ended."""
+
+    async def body() -> None:
+        told = config([Backend()]) | {"operator": f"127.0.0.1:{free_port()}"}
+        host, _, port = str(told[which]).rpartition(":")
+        held = socket.socket()
+        held.bind((host, int(port)))
+        held.listen()
+        (tmp_path / "config.json").write_text(json.dumps(told))
+        env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL
+        )
+        try:
+            await asyncio.sleep(1.5)
+            held.close()
+            until = asyncio.get_running_loop().time() + WAIT_S
+            while asyncio.get_running_loop().time() < until:
+                assert process.returncode is None, "it has ended"
+                try:
+                    reader, writer = await asyncio.open_connection(*told["listen"].split(":"))
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.write(b"PING\r\n")
+                answer = await reader.readline()
+                writer.close()
+                if answer == b"PONG\r\n":
+                    return
+                await asyncio.sleep(0.05)
+            raise AssertionError("it does not serve")
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    asyncio.run(body())
+
+
+class Figures:
+    def __init__(self) -> None:
+        self.asked = 0
+
+    def counters(self) -> Mapping[str, float]:
+        return {"count": 1.0}
+
+    def gauges(self) -> dict[str, float]:
+        self.asked += 1
+        if self.asked == 2:
+            raise KeyError("a source that fails once")
+        return {}
+
+
+def test_reports_go_on_after_one_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No descriptor at the start, a source that raises, a way that is gone for a moment: one report each."""
+
+    async def body() -> None:
+        figures, opened, sent = Figures(), list[int](), list[bytes]()
+
+        class Way(Datagrams):
+            def send(self, data: bytes) -> None:
+                if len(sent) == 0 and not opened[-1]:
+                    raise OSError(errno.ENETUNREACH, "Network is unreachable")
+                sent.append(data)
+
+        async def open_datagrams(address: Any) -> Datagrams:
+            opened.append(len(opened))
+            if len(opened) == 1:
+                raise OSError(errno.ENFILE, "Too many open files in system")
+            return Way()
+
+        monkeypatch.setattr(metrics, "open_datagrams", open_datagrams)
+        told = MetricsConfig(collectd=("127.0.0.1", free_port()), interval_s=0.02)
+        reporting = asyncio.ensure_future(metrics.report(figures, told, "n0"))
+        await asyncio.sleep(0.3)
+        assert not reporting.done() and figures.asked >= 4 and len(opened) == 2 and len(sent) >= 2
+        reporting.cancel()
+
+    asyncio.run(body())
+
+
+def test_a_client_is_told_to_come_again_though_its_servers_side_is_gone_already() -> None:
+    async def body() -> None:
+        backend = Backend()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            writer.write(b"UP r1\r\n")
+
+        await asyncio.start_server(serve, "127.0.0.1", backend.port)
+        hub = Hub(read_config(config([backend])), SystemClock())
+        hub.start()
+        front = LineFront(hub, 200).start()
+        hub.serving = True
+        reader, writer = await asyncio.open_connection(*hub.config.listen)
+        writer.write(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=charge,t=acme,d=900\r\n")
+        assert await reader.readline() == b"UP r1\r\n"
+        (job,) = hub.reducer.jobs
+        front.nodes.pop(job)
+        front.carry_out(Move(job))
+        assert await asyncio.wait_for(reader.read(), WAIT_S) == b"MOVE\r\n"
+        writer.close()
+
+    uvloop.run(body())
+
+
+def test_an_option_that_cannot_be_set_does_not_lose_the_connection() -> None:
+    class Sock:
+        family = socket.AF_INET
+
+        def setsockopt(self, *given: Any) -> None:
+            raise OSError(errno.ENOBUFS, "No buffer space available")
+
+    class Transport(asyncio.Transport):
+        def get_extra_info(self, name: str, default: Any = None) -> Any:
+            return Sock()
+
+        def is_closing(self) -> bool:
+            return False
+
+    side, transport = Side(), Transport()
+    side.connection_made(transport)
+    assert side.alive is transport
--- a/yarrowspindle/transport/side.py
+++ b/yarrowspindle/transport/side.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import termios
+from contextlib import suppress
 from typing import Any, cast
 
 GRACE_S = 0.5  # after our end of sending, for the peer to end as well, if it sends nothing more
@@ -31,7 +32,8 @@
         self.transport = cast(asyncio.Transport, transport)
         sock: Any = transport.get_extra_info("socket")
         if sock is not None and sock.family != socket.AF_UNIX:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with suppress(OSError):  # a connection without it is served all the same
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @property
     def alive(self) -> asyncio.Transport | None:
