Wait for an address that is taken, report on after an error, tell a client to come again in any case

Ruled out: SO_REUSEADDR (it does not help against a listener without SO_REUSEPORT, nor against ENFILE). Change: once_free tries again for 9 s where the system has no socket for the moment; Reporter's errors are logged and cost one report; _move ends the client's side with MOVE where the server's side is gone.

--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -228,8 +228,12 @@
     def _move(self, effect: Move) -> None:
         submitter, node = self.submitters.get(effect.job), self.nodes.pop(effect.job, None)
         self._forget(effect.job)
-        if submitter is not None and node is not None:
+        if submitter is None:
+            return
+        if node is not None:
             node.move(submitter)
+        else:
+            submitter.finish(lines.MOVE)
 
     def _close(self, effect: Close) -> None:
         submitter = self.submitters.get(effect.job)
--- a/yarrowspindle/program/main.py
+++ b/yarrowspindle/program/main.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import signal
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TypeVar
 
 import uvloop
 from loguru import logger
@@ -17,9 +22,30 @@
 from yarrowspindle.program.metrics import report
 from yarrowspindle.runtime import SystemClock
 
+T = TypeVar("T")
+START_MOST_S, START_AGAIN_S = 9.0, 0.05  # a relay is to be ready within 10 s
+FOR_A_MOMENT = frozenset(
+    (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+)
 END_S = 0.25  # for the ends of connections, once all was moved or answered
 
 
+async def once_free(what: str, start: Callable[[], Awaitable[T]]) -> T:
+    """Starts what needs a socket, again and again while the system has none to give: an address that the process
+    before still holds, descriptors or memory that are short just now. Raises OSError after START_MOST_S."""
+    until, said = time.monotonic() + START_MOST_S, ""
+    while True:
+        try:
+            return await start()
+        except OSError as error:
+            if error.errno not in FOR_A_MOMENT or time.monotonic() >= until:
+                raise
+            if (why := str(error)) != said:
+                logger.warning("{} cannot be had yet: {}", what, why)
+            said = why
+        await asyncio.sleep(START_AGAIN_S)
+
+
 async def serve(config: Config, operator: Operator) -> None:
     hub = Hub(config, SystemClock(), operator)
     loop = asyncio.get_running_loop()
@@ -41,13 +67,17 @@
         from yarrowspindle.operator import MOST, OperatorApi
 
         descriptors -= MOST + 2  # one more while the oldest is ended, and its socket
-    server = LineFront(hub, descriptors).start()
+
+    async def listen() -> LineFront:
+        return LineFront(hub, descriptors).start()
+
+    server = await once_free("the clients' address", listen)
     api = None
     if config.operator is not None:
         from yarrowspindle.program.operations import routes
 
         api = OperatorApi(routes(hub), lambda text: logger.error("an operator's call failed: {}", text))
-        await api.start(*config.operator)
+        await once_free("the operators' address", partial(api.start, *config.operator))
         logger.info("the operators' API is at {}:{}", *config.operator)
     if operator.quic is not None:
         from yarrowspindle.program.quic_front import QuicFront  # needs packages that the platform does without
--- a/yarrowspindle/program/metrics.py
+++ b/yarrowspindle/program/metrics.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
+from loguru import logger
+
 from yarrowspindle.program.config import MetricsConfig
 from yarrowspindle.protocol import collectd, graphite
 from yarrowspindle.routing.messages import Address, AttemptOver, Deny, Drop, Effect, Event, Move, Requeue
@@ -79,17 +81,40 @@
 
 
 async def report(metrics: Figures, config: MetricsConfig, name: str) -> None:
-    """Sends a report at each interval until it is cancelled."""
-    receiver = Receiver(config.graphite) if config.graphite else None
-    datagrams = await open_datagrams(config.collectd) if config.collectd else None
+    """Sends a report at each interval until it is cancelled. One that fails costs itself alone."""
+    reporter = Reporter(metrics, config, name)
+    said = ""
     while True:
         await asyncio.sleep(config.interval_s)
-        now, counters, gauges = time.time(), dict(metrics.counters()), metrics.gauges()
-        if receiver is not None:
-            receiver.send(graphite.plaintext(f"{config.prefix}.{name}", counters | gauges, now))
-        if datagrams is not None:
-            for packet in collectd.packets(name, counters, gauges, now, config.interval_s):
-                datagrams.send(packet)
+        try:
+            await reporter.report()
+            said = ""
+        except Exception as error:  # of whatever kind: figures are lost, connections are not
+            if (why := repr(error)) != said:
+                logger.warning("a report was not sent: {}", why)
+            said = why
+
+
+class Reporter:
+    """Sends reports to the receivers that the operator's file names."""
+
+    def __init__(self, metrics: Figures, config: MetricsConfig, name: str) -> None:
+        self.metrics, self.config, self.name = metrics, config, name
+        self.receiver = Receiver(config.graphite) if config.graphite else None
+        self.datagrams: Datagrams | None = None
+
+    async def report(self) -> None:
+        """Raises what a source of figures or the system raises."""
+        config, now = self.config, time.time()
+        counters, gauges = dict(self.metrics.counters()), self.metrics.gauges()
+        if self.receiver is not None:
+            self.receiver.send(graphite.plaintext(f"{config.prefix}.{self.name}", counters | gauges, now))
+        if config.collectd is None:
+            return
+        if self.datagrams is None:
+            self.datagrams = await open_datagrams(config.collectd)
+        for packet in collectd.packets(self.name, counters, gauges, now, config.interval_s):
+            self.datagrams.send(packet)
 
 
 async def open_datagrams(address: Address) -> Datagrams:
