--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -12,6 +12,7 @@
 from benchmarks.soak.world import World
 
 FOLLOW_S = 0.3  # for so long after SIGTERM connections go on coming
+LEAVING, RUDE = 0.06, 0.03  # at all times
 PATIENCE_S = 6.0  # over its time, until a client that was not answered gives up
 RESETS = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 NONSENSE = (
@@ -32,7 +33,7 @@
     def __init__(self, world: World, relays: list[Relay]) -> None:
         self.world, self.relays = world, relays
         self.random = Random(f"clients {world.plan.seed}")
-        self.leaving = self.rude = self.piecewise = 0.0
+        self.leaving, self.rude, self.piecewise = LEAVING, RUDE, 0.0
         self.number = self.random.getrandbits(62)
         self.asked = 0
         self.stopped = False
