--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -308,6 +308,9 @@
         else:
             self.discovery.behaviour = "" if kind == "break" else kind
             self.discovery.break_watches()
+            if self.discovery.pushed and kind != "break":
+                # An agent that answers nobody has nothing that counts as told: as while discovery is down.
+                self.discovery.down_since = self.world.now()
         began = self.world.now()
         await self._rest(trouble)
         await self.discovery.come_back()
--- a/yarrowspindle/program/line_front.py
+++ b/yarrowspindle/program/line_front.py
@@ -144,9 +144,7 @@
         return {side.node for side in self.door.held if isinstance(side, NodeSide)}
 
     def node_reached(self, side: NodeSide) -> None:
-        connecting = self.reaching.pop(side.job, None)
-        if connecting is not None:
-            connecting.done()
+        self.reaching.pop(side.job, None)
         self.network.works()
         self.hub.post(NodeReached(side.job, side.attempt))
 
--- a/yarrowspindle/program/metrics.py
+++ b/yarrowspindle/program/metrics.py
@@ -24,6 +24,8 @@
 COUNTED = frozenset(("JobArrived", "SubmitterLeft", "ListTold", "Reach", "Ask", "Join", "Requeue", "Deny", "Move",
                      "Close"))  # fmt: skip
 
+REASONS: dict[type, str] = {Requeue: "refusal", Deny: "refusal", Drop: "given_up", Move: "moved"}
+
 
 class Figures(Protocol):
     def counters(self) -> Mapping[str, float]: ...
@@ -62,12 +64,9 @@
         name = type(effect).__name__
         if name in COUNTED:
             self.counts[f"effect.{name}"] += 1
-        if isinstance(effect, Requeue | Deny) and effect.why is not None:
-            self.counts[f"refusal.{effect.why.value}"] += 1
-        elif isinstance(effect, Drop):
-            self.counts[f"given_up.{reason(effect.why)}"] += 1
-        elif isinstance(effect, Move):
-            self.counts[f"moved.{reason(effect.why)}"] += 1
+        reasons = REASONS.get(type(effect))
+        if reasons is not None:
+            self.counts[f"{reasons}.{reason(effect.why)}"] += 1  # type: ignore[union-attr]  # all of these have one
 
     def gauges(self) -> dict[str, float]:
         phases = Counter(job.phase for job in self.reducer.jobs.values())
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -270,16 +270,18 @@
         """Guards the nodes and the other jobs against a submitter that uses another's name, that would wait without
         end, or that picks its node itself once the run has begun (that could be one that drains). A job without a
         name was made by the front itself."""
-        named = bool(event.ref)
+        if not event.ref:
+            return Refusal.RELAY_ENDING if self.ended(self.now) else None
+        pinned = bool(event.at)
         refused = gate.may_take(
             ending=self.ended(self.now),
             id_in_use=event.ref in self.refs,
-            names_server=bool(event.at) or not named,
-            begun=self.begun and named,
+            names_server=pinned,
+            begun=self.begun,
             left_ms=event.left_ms,
-            deadline_ms=self.settings.classes[event.cls].deadline_ms if named else event.left_ms,
+            deadline_ms=self.settings.classes[event.cls].deadline_ms,
         )
-        if named and not event.at and refused in (None, Refusal.RELAY_ENDING):
+        if not pinned and (refused is None or refused is Refusal.RELAY_ENDING):
             self.begun = True
         return refused
 
--- a/yarrowspindle/telemetry/guard.py
+++ b/yarrowspindle/telemetry/guard.py
@@ -57,7 +57,7 @@
         self.name, self.arrived, self.deadline, self.pinned = name, arrived, deadline, pinned
         self.attempt: int | None = None  # that is out
         self.server, self.start = "", 0.0  # of that attempt, as listed when it began
-        self.noted: set[Rule] = set()
+        self.noted: tuple[Rule, ...] = ()
 
 
 class Guard:
@@ -105,7 +105,7 @@
         if request is not None:
             if rule in request.noted:
                 return
-            request.noted.add(rule)
+            request.noted += (rule,)
         self.counts[rule.value] += 1
         self.violated(f"invariant {rule.value} violated: request={request.name if request else '?'} {what}")
 
--- a/yarrowspindle/transport/connecting.py
+++ b/yarrowspindle/transport/connecting.py
@@ -106,7 +106,7 @@
         if self.connecting.state is State.OVER:
             stream.abort()
             return
-        self.connecting.done()
+        self.connecting.up()
         protocol = self.connecting.protocol
         stream.set_protocol(protocol)
         protocol.connection_made(transport)
@@ -132,10 +132,9 @@
             self.timer = loop.call_later(max(within_s, 0.0), self._late)
         self.task = loop.create_task(self._connect(loop))
 
-    def done(self) -> None:
-        """The protocol is connected: no time limit counts any more."""
-        if self.state is State.PENDING:
-            self.state = State.UP
+    def up(self) -> None:
+        """The protocol is about to be connected: no time limit counts any more."""
+        self.state = State.UP
         self._stop_timer()
 
     def cancel(self) -> bool:
