Take placement by cost out of the decision module, with the same draws

Change: decisions/cost_placement.py holds what a connection costs, where it costs least and what a move gains, in short functions without assignments inside conditions; policy.py asks it.

--- /dev/null
+++ b/yarrowspindle/decisions/cost_placement.py
@@ -0,0 +1,94 @@
+"""Placement where servers tell their load when they are probed: by what a connection costs there, in worth.
+
+The cost of a connection at a server is what it and those beside it lose by late messages, and the crossing between
+zones at its stated price. Estimates come from load reports (`reports.py`), carried on by what was placed since.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from math import inf
+from random import Random
+
+from yarrowspindle.books import Job, Server
+from yarrowspindle.interface import Settings
+from yarrowspindle.reports import SICK, Estimates
+from yarrowspindle.ring import Ring
+
+ROUNDS = 3  # draws, while all that were drawn cost more than the connection is worth
+DRAWS = 2  # servers drawn from each ring in a round
+MOVE_GAIN, FIRM_PART = 0.05, 0.33  # worth a move, in mean worth; counted of what is only estimated
+
+
+class CostPlacement:
+    """known: the estimates of all servers. rings: the own zone's and all servers, which may be the same. random: draws
+    in 0 to 1."""
+
+    def __init__(self, known: Estimates, rings: tuple[Ring[Server], Ring[Server]], random: Callable[[], float]) -> None:
+        self.known, self.rings, self.random = known, rings, random
+
+    def cheapest(
+        self, job: Job, settings: Settings, now: float, rings: tuple[Ring[Server], Ring[Server]] | None = None
+    ) -> tuple[Server | None, float]:
+        """Of two servers drawn at home, two drawn from all and those with the group: where it costs least, and what.
+
+        A group draws alike at all balancers: each server that holds any of it pays for it once. rings: where the
+        request is bound to fewer servers."""
+        known, rings = self.known, rings or self.rings
+        luck = Random(job.group).random if known.groups and job.group else self.random
+        found = list(known.holders.get(job.group, {}).values()) if rings[1] is self.rings[1] else []
+        best, least = None, inf
+        for _ in range(ROUNDS):
+            found += [ring.draw(luck, 0.0, 1.0) for ring in rings if ring.size for _ in range(DRAWS)]
+            for server in found:
+                if server is job.server or not server.usable(now, settings):
+                    continue
+                cost = self.cost(server, job, settings)
+                if cost < least:
+                    best, least = server, cost
+            if best is not None and best.used < SICK and least <= settings.classes[job.cls].worth:
+                break
+        return best, least
+
+    def best(self, job: Job, settings: Settings, now: float, rings: tuple[Ring[Server], Ring[Server]]) -> Server | None:
+        """Where the request goes: the cheapest drawn, or whoever answers where that one does not."""
+        found = self.cheapest(job, settings, now, rings)[0]
+        if found is not None and found.used < SICK:
+            return found
+        well: Iterable[Server] = (
+            server
+            for server in rings[1].pool
+            if server.used < SICK and server is not job.server and server.usable(now, settings)
+        )
+        return min(well, key=lambda server: self.cost(server, job, settings), default=found)
+
+    def cost(self, server: Server, job: Job, settings: Settings, there: bool = False) -> float:
+        """In worth; there: the connection stands there already."""
+        known = self.known
+        adds, worth = known.adds(server, job, there), settings.classes[job.cls].worth
+        served, fall = known.served(known.used(server) + (0.0 if there else adds))
+        crossing = settings.cross_zone_price if server.zone != settings.zone else 0.0
+        beside = max(server.holds, server.open) * fall * adds
+        return worth * (1.0 - served) + known.worth * (beside + crossing)
+
+    @property
+    def worth_a_move(self) -> float:
+        return MOVE_GAIN * self.known.worth
+
+    def gain(self, job: Job, server: Server, settings: Settings, now: float, reserve_above: float = inf) -> float:
+        """What a move would save, in worth each second; of a load that is only estimated a part counts. Above
+        `reserve_above` the connection is counted where it would go."""
+        known = self.known
+        stays = self.cost(server, job, settings, True)
+        if stays <= self.worth_a_move:
+            return 0.0
+        best, least = self.cheapest(job, settings, now)
+        if best is None:
+            return 0.0
+        nearer = (server.zone != settings.zone) - (best.zone != settings.zone)
+        firm = nearer * settings.cross_zone_price * known.worth
+        estimated = stays - least - firm
+        gain = firm + estimated * (FIRM_PART if estimated > 0.0 else 1.0)
+        if gain > reserve_above:
+            known.reserve(best, job, now)
+        return gain
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from yarrowspindle.books import Job, Loads, Server, SetUps, Trouble, known
+from yarrowspindle.decisions.cost_placement import CostPlacement
 from yarrowspindle.decisions.gate import may_promise_no_effect
 from yarrowspindle.decisions.refusal import Refusal
 from yarrowspindle.decisions.retries import RetryBudget, least_wait, may_attempt, repeat_group, repeat_within
@@ -63,8 +64,6 @@
 RETURNED_DRAWS = 16  # for clients that come again while servers are levelled: two seldom find who has room
 BEAT_MS = 500.0  # where reports can be had: servers are probed and connections moved on this beat
 PROBES, PROBES_MOST = 1.5, 200.0  # that each new connection pays for, and saved up for later
-ROUNDS = 3  # draws, while all that were drawn cost more than the connection is worth
-MOVE_GAIN, FIRM_PART = 0.05, 0.33  # worth a move, in mean worth; counted of what is only estimated
 FULL, FULL_PART = 1.1, 0.25  # above this use a server is emptied, a part on each beat
 FORGET_MS = 5000.0  # slow notes come once a second; after five that did not come we know nothing any more
 TOLD_MS, CALL_MS = 6000.0, 250.0  # the list counts as told so long after it could be had; a call
@@ -87,6 +86,8 @@
         self.jobs: dict[int, Job] = {}
         self.others = OthersBook(settings.balancers)
         self.estimates = Estimates(settings, self.others) if settings.may_probe and settings.report else None
+        rings = (self.inner, self.everywhere)
+        self.costs = CostPlacement(self.estimates, rings, self.random) if self.estimates is not None else None
         self.probes, self.beating = 0.0, False  # that may go out at once
         self.trouble, self.set_up = Trouble(settings.fall_ms / 8.0, now), SetUps()
         self.retries, self.loads = RetryBudget(), Loads()
@@ -218,14 +219,8 @@
             inner = outer = repeat_group(job, job.ran_on, cls, within, self.everywhere.pool)
         elif (cold := self._feed()) is not None:
             return cold
-        if (told := self.estimates) is not None:
-            best = self._cheapest(told, job, (inner, outer))[0]
-            if best is None or best.used >= SICK:  # by luck: who answers goes before who does not
-                well = (
-                    s for s in outer.pool if s.used < SICK and s is not job.server and s.usable(self.now, self.settings)
-                )
-                best = min(well, key=lambda s: self._cost(told, s, job), default=best)
-            return best
+        if self.costs is not None:
+            return self.costs.best(job, self.settings, self.now, (inner, outer))
         # What home is short of goes to all zones, or the first servers back there would get all of it.
         if inner.total < inner.usual and self.random() * inner.usual >= inner.total:
             inner = outer
@@ -259,36 +254,11 @@
 
     # --- where servers tell their load when they are probed -------------------------------------
 
-    def _cheapest(self, known: Estimates, job: Job, rings: tuple[Ring[Server], Ring[Server]]
-                  ) -> tuple[Server | None, float]:  # fmt: skip
-        """Of two servers drawn at home, two drawn from all and those with the group: where it costs least.
-
-        A group draws alike at all balancers: each server that holds any of it pays for it once."""
-        luck = Random(job.group).random if known.groups and job.group else self.random
-        found = list(known.holders.get(job.group, {}).values()) if rings[1] is self.everywhere else []
-        best, least = None, inf
-        for _ in range(ROUNDS):
-            found += [ring.draw(luck, 0.0, 1.0) for ring in rings if ring.size for _ in "12"]
-            for server in found:
-                if server is not job.server and server.usable(self.now, self.settings):
-                    if (cost := self._cost(known, server, job)) < least:
-                        best, least = server, cost
-            if best is not None and best.used < SICK and least <= self.settings.classes[job.cls].worth:
-                break
-        return best, least
-
-    def _cost(self, known: Estimates, server: Server, job: Job, there: bool = False) -> float:
-        """In worth: what the connection and those beside it lose by late messages, and the crossing."""
-        adds, worth = known.adds(server, job, there), self.settings.classes[job.cls].worth
-        served, fall = known.served(known.used(server) + (0.0 if there else adds))
-        away = self.settings.cross_zone_price if server.zone != self.settings.zone else 0.0
-        return worth * (1.0 - served) + known.worth * (max(server.holds, server.open) * fall * adds + away)
-
     def _beat(self) -> None:
         """Probe who was probed longest ago, as often as new connections pay for, and move who gains by it."""
-        known = self.estimates
+        costs = self.costs
         self._later(BEAT_MS, self._beat)
-        if known is None:
+        if costs is None:
             return
         ours = (s for s in self.servers.values() if s.ready and self.others.turn(s, self.now))
         for server in sorted(ours, key=lambda s: s.asked_at):
@@ -296,33 +266,26 @@
                 break
             self.probes, server.asked_at = self.probes - 1.0, self.now
             self.out.append(Probe(server.id))
-        enough, left = MOVE_GAIN * known.worth, {-1: self.others.moves(self.now)}  # some from full ones
-        gains = [(self._gain(known, j, j.server), -j.id, j.server) for j in self.jobs.values()
-                 if j.out and j.established and j.owed and j.server is not None]  # fmt: skip
+        self._move_for_gain(costs)
+
+    def _move_for_gain(self, costs: CostPlacement) -> None:
+        """Moves who gains by it, the most first: a part of each full server's connections, few others."""
+        enough, left = costs.worth_a_move, {-1: self.others.moves(self.now)}  # some from full ones
+        gains = [
+            (costs.gain(j, j.server, self.settings, self.now), -j.id, j.server)
+            for j in self.jobs.values()
+            if j.out and j.established and j.owed and j.server is not None
+        ]
         gains = sorted((g for g in gains if g[0] > enough), key=lambda g: g[:2], reverse=True)
         for _, number, server in gains:
             quota, job = server.id if server.used > FULL else -1, self.jobs[-number]
             # Looked at anew: who was moved before it will be there by then.
-            if (left.setdefault(quota, 1 + int(FULL_PART * server.open)) > 0
-                    and self._gain(known, job, server, enough) > enough):  # fmt: skip
+            if left.setdefault(quota, 1 + int(FULL_PART * server.open)) <= 0:
+                continue
+            if costs.gain(job, server, self.settings, self.now, enough) > enough:
                 left[quota] -= 1
                 self._move(job)
 
-    def _gain(self, known: Estimates, job: Job, server: Server, reserve_above: float = inf) -> float:
-        """What a move would save, in worth each second. Of a load that is only estimated a part counts."""
-        if (stays := self._cost(known, server, job, True)) <= MOVE_GAIN * known.worth:
-            return 0.0
-        best, least = self._cheapest(known, job, (self.inner, self.everywhere))
-        if best is None:
-            return 0.0
-        nearer = (server.zone != self.settings.zone) - (best.zone != self.settings.zone)
-        firm = nearer * self.settings.cross_zone_price * known.worth
-        estimated = stays - least - firm
-        gain = firm + estimated * (FIRM_PART if estimated > 0.0 else 1.0)
-        if gain > reserve_above:
-            known.reserve(best, job, self.now)
-        return gain
-
     def _probed(self, event: Probed) -> None:
         server = self.servers.get(event.server)
         if server is not None and self.estimates is not None:
@@ -394,8 +357,8 @@
         where we hold something and hear nothing is likely well; as trouble spreads it is spared all the same,
         but only where a refused client can be told to wait: else it would be back at once.
         """
-        if self.estimates is not None:
-            return self._cost(self.estimates, server, job) > self.settings.classes[job.cls].worth
+        if self.costs is not None:
+            return self.costs.cost(server, job, self.settings) > self.settings.classes[job.cls].worth
         if self._misses(server, job):
             return True
         # Set-ups take most of their aim: the store they share has a queue. Fewer wait, more arrive.
