--- a/yarrowspindle/transport/side.py
+++ b/yarrowspindle/transport/side.py
@@ -97,7 +97,7 @@
             return waiting
         try:
             (queued,) = INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))
-        except OSError:
+        except (OSError, ValueError):  # it is closed just now
             return waiting
         return waiting + int(queued)
 
