Try once more at the end to keep the settings that a bad disk did not take

Ruled out: a shorter wait between tries (a disk that stays bad would be asked ten times as often). Change: Endpoint.close tries what is unkept once more, for 0.1 s at most, with the lock held.

--- a/yarrowspindle/program/control.py
+++ b/yarrowspindle/program/control.py
@@ -32,6 +32,7 @@
 AGAIN_S = 1.0  # a lock, a disk or a core that failed is tried again after so long
 DUE_S = 0.05  # how often parts that are missing are asked for
 FLUSH_S = 0.02
+LAST_KEEP_S = 0.1  # for a last try to keep what was taken, before the process ends
 SAID_S, SAID_MOST = 60.0, 1024  # one and the same warning is said once in this time
 KEPT = "taken"
 READS, READ_AGAIN_S = 20, 0.05  # of a kept file at the start, before anybody is served
@@ -70,6 +71,7 @@
         self.closed = True
         for task in self.tasks:
             task.cancel()
+        await self._keep_at_the_end()
         self.disk.shutdown(wait=False, cancel_futures=True)
         await asyncio.sleep(FLUSH_S)
         if self.front.transport is not None:
@@ -191,6 +193,20 @@
                 await asyncio.sleep(AGAIN_S)
             said = why
 
+    def kept_in(self) -> KeptFile[Any] | None:
+        """The file of what is found again after a restart; None: there is none."""
+        return None
+
+    async def _keep_at_the_end(self) -> None:
+        """What could not be kept so far is tried once more; a disk that takes its time is not waited for."""
+        file = self.kept_in()
+        if self.unkept is None or file is None or file.unlocked():
+            return
+        try:
+            await asyncio.wait_for(self.loop.run_in_executor(self.disk, file.store, self.unkept), LAST_KEEP_S)
+        except (OSError, TimeoutError) as error:
+            logger.warning("control: version {} is not kept for a restart: {}", self.unkept.version, repr(error))
+
     # --- figures --------------------------------------------------------------------------------
 
     def counters(self) -> Counter[str]:
@@ -253,6 +269,9 @@
                 effects += self.core.step(self._now(), Turned(take.version, why))
         super().carry_out(effects)
 
+    def kept_in(self) -> KeptFile[Any] | None:
+        return self.file
+
     def _effect(self, effect: Effect) -> None:
         if isinstance(effect, Keep):
             self.keep(effect)
--- a/yarrowspindle/program/controller.py
+++ b/yarrowspindle/program/controller.py
@@ -132,6 +132,9 @@
             self.api.close()
         await super().close()
 
+    def kept_in(self) -> KeptFile[Any] | None:
+        return self.agreed
+
     # --- the core's sides -----------------------------------------------------------------------
 
     def _send(self, send: Send) -> None:
