Show by a test that a warming server gets twice what each of the others does

Cause: the budget is of what fills a server over its warm-up, with twice its usual share as what fills it: fall_multiple 2 x 0.75 x 2 x the ramp's 0.87 in the third of three seconds allows 2.6 times a share, and slow start used it up whatever the server held. Ruled out: that the budget has to be used up: it is an upper bound, and connections that live for long never reach their share within the warm-up, so they are fed as before.

--- a/tests/test_slow_start_clock.py
+++ b/tests/test_slow_start_clock.py
@@ -24,9 +24,9 @@
 class Relay:
     """A reducer whose servers serve each request for a while, and a list that tells what changes."""
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, seed: int = 7, **changes: Any) -> None:
         values = {"cold_ms": COLD_MS, "cold_share": 0.2, "fall_multiple": 2.0, "fall_ms": 1000.0, "balancers": 1}
-        self.reducer = Reducer(settings(**(values | changes)), 7, START)
+        self.reducer = Reducer(settings(**(values | changes)), seed, START)
         self.now, self.requests = START, itertools.count(1)
         self.running: list[tuple[float, Reach]] = []
         self.machines = {f"s-{n}": Machine(f"s-{n}", ("127.0.0.1", 1 + n)) for n in range(SERVERS)}
@@ -93,3 +93,14 @@
     relay.tell(ListKind.FULL, list(relay.machines), quiet_ms=None)
     relay.serve(COLD_MS + 100.0)
     assert 0.75 < share_of(relay.serve(2000.0), "s-3") < 1.25
+
+
+@pytest.mark.parametrize("seed", (1, 2, 3))
+def test_a_server_that_warms_up_is_not_fed_over_what_each_of_the_others_gets(seed: int) -> None:
+    """Its budget would allow it, where the settings are generous; its own clients would pay for it."""
+    relay = Relay(seed, cold_ms=3000.0)
+    relay.serve(3000.0)
+    relay.restart("s-3", relay.now)
+    relay.serve(1500.0)
+    assert share_of(relay.serve(1500.0), "s-3") < 1.25
+    assert 0.75 < share_of(relay.serve(3000.0), "s-3") < 1.25, "and it has its share once it is warm"
