--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -12,6 +12,7 @@
 from benchmarks.soak.world import World
 
 FOLLOW_S = 0.3  # for so long after SIGTERM connections go on coming
+CLASS_WEIGHTS = (3, 1, 1)  # most requests are of the class that may run once
 LEAVING, RUDE = 0.06, 0.03  # at all times
 PATIENCE_S = 6.0  # over its time, until a client that was not answered gives up
 RESETS = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -54,7 +55,7 @@
 
     def _request(self, relay: Relay) -> tuple[Request, bytes]:
         settings = self.world.plan.settings
-        cls = self.random.choice(settings["categories"])
+        cls = self.random.choices(settings["categories"], CLASS_WEIGHTS)[0]
         self.number += 1
         name = f"{self.number & (1 << 64) - 1:016x}"
         wait_ms = cls["deadline_ms"] * self.random.choice((1.0, 1.0, 1.0, 0.5))
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -28,7 +28,8 @@
     "rude": "clients send nonsense, floods, halves, or rest",
 }
 NEEDS_SHIM = frozenset(("clock", "calls", "pieces"))
-RATE_EACH = 14.0  # requests a second to each relay
+RATES_EACH = (14.0, 14.0, 40.0)  # requests a second to each relay
+RATE_MOST = 420.0  # of all together: what one process of stand-ins serves without being late itself
 FIRST_S, REST_S = 1.2, 3.0  # before the first trouble, and after the last
 
 
@@ -60,7 +61,7 @@
     settings: dict[str, Any]
     troubles: tuple[Trouble, ...]
     stepped_ms: int  # of the wall clock of every other relay, from its start
-    per_relay_s: float = RATE_EACH
+    per_relay_s: float
 
     def pairs(self) -> set[frozenset[str]]:
         """Words of troubles that overlap in time."""
@@ -161,4 +162,5 @@
             troubles.append(Trouble(word, begins, length * random.uniform(0.55, 0.75), random.getrandbits(30)))
     stepped = random.choice((0, 0, -3_600_000, 3_600_000, -4000, 4000)) if "clock" in words else 0
     troubles.sort(key=lambda trouble: trouble.at_s)
-    return Plan(seed, relays, backends, seconds, settings, tuple(troubles), stepped)
+    rate = min(random.choice(RATES_EACH), RATE_MOST / relays)
+    return Plan(seed, relays, backends, seconds, settings, tuple(troubles), stepped, rate)
--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -14,6 +14,7 @@
 
 from yarrowspindle.decisions import gate
 from yarrowspindle.interface import Effect, Outcome, State
+from yarrowspindle.policy import Balancer
 from yarrowspindle.program import line_front
 from yarrowspindle.program.main import main
 from yarrowspindle.routing import reducer
@@ -84,9 +85,15 @@
 
 
 def flood_cold_servers() -> None:
-    """The budget of servers that have just started never says no."""
+    """Servers that have just started get whatever comes, while there is one."""
     gate.may_feed = lambda chance, drawn: None
 
+    def feed(self: Balancer) -> Any:
+        found = self.slow_start.candidates(self.now, self.settings, self.everywhere, False, self.standing)
+        return next((server for server in found if server.ready), None)
+
+    Balancer._feed = feed  # type: ignore[method-assign]
+
 
 def late_connections() -> None:
     """The time limit of a connection cancels it, as before the hunt: what was written counts as never sent."""
--- a/yarrowspindle/decisions/slow_start.py
+++ b/yarrowspindle/decisions/slow_start.py
@@ -58,6 +58,10 @@
             return []
         return [self.cold[bisect(self.cold_ends, self.random() * self.cold_ends[-1])] for _ in range(CANDIDATES)]
 
+    def turns_over(self, now: float, settings: Settings, standing: int) -> bool:
+        """Whether connections live for less than a warm-up: then what a server holds tells what it gets."""
+        return self.ended.get(now) > standing / settings.cold_ms
+
     def _look_up(self, now: float, settings: Settings, home_only: bool) -> None:
         self.looked_at = now
         self.young = {i: s for i, s in self.young.items() if s.ready and s.ramp(now, settings) < 1.0}
--- a/yarrowspindle/policy.py
+++ b/yarrowspindle/policy.py
@@ -309,8 +309,9 @@
         if not found:
             return None
         server = min(found, key=self._rank)
-        if server.open * fed.usual > self.standing * server.capacity:
-            return None  # it holds its share already: the budget is a bound, and need not be used up
+        over_its_share = server.open * fed.usual > self.standing * server.capacity
+        if over_its_share and self.slow_start.turns_over(self.now, self.settings, self.standing):
+            return None  # the budget is a bound, and need not be used up
         return server if server.ready and self.now >= server.bad_until and server.used < SICK else None
 
     # --- attempts -------------------------------------------------------------------------------
