Stop relays again while they send on what came meanwhile

Change: half of the pauses between two stops are 0.5 to 10 ms, in which a relay is sending on what waited.

--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -195,7 +195,8 @@
         async def again(relay: Relay) -> None:
             while self.world.now() < trouble.ends_s and relay.alive and not relay.ending:
                 await relay.stop(random.uniform(0.02, 0.14))
-                await asyncio.sleep(random.uniform(0.01, 0.08))
+                # Often so soon that what came meanwhile is just being sent on.
+                await asyncio.sleep(random.choice((random.uniform(0.0005, 0.01), random.uniform(0.01, 0.08))))
 
         await asyncio.gather(*(again(relay) for relay in self._some_relays(random, len(self.relays))))
 
