Test that an observer's failure keeps no event back; let the soak excuse who came as a relay was killed

Ruled out: a fault of the relay (its process had ended). Change: whose process was killed before the connection's end is excused, another process of the relay is not; two cases of the oracle's test.

--- a/tests/test_failing_steps.py
+++ b/tests/test_failing_steps.py
@@ -149,3 +149,25 @@
     ends: Callable[[], Coroutine[Any, Any, None]],
 ) -> None:
     uvloop.run(ends())
+
+
+def test_whoever_looks_on_and_fails_does_not_keep_the_event_from_the_reducer() -> None:
+    async def body() -> None:
+        backends = [Backend()]
+        await backends[0].open()
+        hub = Hub(read_config(config(backends)), SystemClock())
+        hub.start()
+        front = LineFront(hub, 200).start()
+        hub.serving = True
+        hub.runtime.seen.append(fail)
+        _, writer = await asyncio.open_connection(*hub.config.listen)
+        writer.write(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=charge,t=acme,d=900\r\n")
+        for _ in range(100):
+            if backends[0].lines:
+                break
+            await asyncio.sleep(0.01)
+        assert len(backends[0].lines) == 1 and hub.runtime.counts["failures"] > 0
+        writer.close()
+        front.listener.sock.close()
+
+    uvloop.run(body())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -64,6 +64,16 @@
     oracle.requests["a"].broken_by_kill = True
 
 
+def killed_as_it_came(oracle: Oracle) -> None:
+    oracle.requests["a"].answers.clear()
+    oracle.killed["r0.1"] = [0.99]
+
+
+def another_killed(oracle: Oracle) -> None:
+    oracle.requests["a"].answers.clear()
+    oracle.killed["r0.2"] = [0.99]
+
+
 def answered_at(at: float) -> Callable[[Oracle], None]:
     def change(oracle: Oracle) -> None:
         oracle.requests["a"].answers[:] = [(at, "BUSY")]
@@ -128,6 +138,8 @@
     "closed with no answer": (unanswered, Rule.UNANSWERED),
     "never answered": (never_ended, Rule.LOST),
     "killed with its relay": (killed, None),
+    "killed as it came": (killed_as_it_came, None),
+    "unanswered beside one that was killed": (another_killed, Rule.UNANSWERED),
     "answered in time": (answered_at(2.04), None),
     "answered too late to earn": (answered_at(2.4), None),
     "answered too late": (answered_at(2.6), Rule.LOST),
