--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -79,7 +79,7 @@
         if ends is None:
             return
         reader, writer = ends
-        request.relay = relay.instance_at(writer.get_extra_info("sockname")) or relay.instance
+        request.relay = relay.instance
         self.asked += 1
         self.world.oracle.requests[request.name] = request
         relay.open.add(request)
@@ -125,9 +125,6 @@
             now = self.world.now()
             if not line:
                 request.ended = now
-                if not request.answers:
-                    # Sent when the relay had ended its side already: what it never read it does not owe.
-                    request.well_formed = request.ended - request.sent > 0.0
                 return
             word = line.split()[0].decode("ascii", "replace") if line.split() else ""
             if word in ("MOVE", "BYE"):
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -66,7 +66,6 @@
     ended: float = inf  # when the relay's side ended
     answers: list[tuple[float, str]] = field(default_factory=list)
     broken_by_kill: bool = False
-    well_formed: bool = True
     moved: bool = False
 
 
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -54,9 +54,6 @@
     def instance(self) -> str:
         return f"{self.name}.{self.life}"
 
-    def instance_at(self, _sockname: object) -> str:
-        return self.instance
-
     def takes(self, now: float, follow_s: float) -> bool:
         """Whether the front sends connections here."""
         return self.serves and (not self.ending or now < self.told_to_end + follow_s)
