Pass a client's line on before telling of it, since telling may end the connection

Cause: data_received told its sink first. Telling runs, after a stall, what has fallen due before the event, which may migrate this very connection and take its other side away.

Change: the line is passed on first; telling is the last step.

--- a/tests/daemon/test_held_shutdown.py
+++ b/tests/daemon/test_held_shutdown.py
@@ -141,3 +141,26 @@
         assert answer.split(" ")[0] in ("BUSY", "ERR"), "its time has passed, but it is answered"
 
     run(tmp_path, body)
+
+
+@pytest.mark.parametrize(("stop_s", "hold_s"), [(0.7, 0.3), (0.7, 1.2), (0.65, 0.3), (0.75, 0.4)])
+def test_a_line_that_is_read_as_its_connection_is_moved_breaks_no_transport(
+    tmp_path: Path, stop_s: float, hold_s: float
+) -> None:
+    """Guards against using a connection that ended in the very call that told of its data: resets overtook MOVE."""
+
+    async def body(w: World) -> None:
+        standing = [(await w.standing())[0] for _ in range(20)]
+        w.stop()
+        await w.logged("shutting down")
+        await asyncio.sleep(stop_s)
+        w.process.send_signal(signal.SIGSTOP)
+        for peer in standing:
+            peer.say("a line")
+        await asyncio.sleep(hold_s)
+        w.process.send_signal(signal.SIGCONT)
+        answers = [[await peer.hear(), await peer.hear()] for peer in standing]
+        assert answers == [["MOVE", ""]] * 20
+        assert await asyncio.wait_for(w.process.wait(), WAIT_S) == 0
+
+    run(tmp_path, body, **SHORT)  # which finds a traceback in the relay's log
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -46,8 +46,8 @@
         if self.closing:
             self.thrown += len(data)
         elif self.other is not None:
-            self.sink.request_asked(self.request, data.count(b"\n"))
             self.other.write(data)
+            self.sink.request_asked(self.request, data.count(b"\n"))
         elif self.request:  # it has to wait for its answer; what it sends is neither kept nor passed on
             self.sink.request_out_of_turn(self.request)
         else:
