Raise from Placement.reached where the request ended in that very call

What callers saw: nothing was reported. A host of the library that was held up while its connection came up sent a request that had been rejected in the call right before; the middleware's reach kept its link open.

Cause: reached looked at the request before it told the core, not after; telling runs what has fallen due, and asks the gate.

Change: a new look after the call, as up does; reach closes the link and goes on with the next backend.

--- a/tests/library/test_library.py
+++ b/tests/library/test_library.py
@@ -225,6 +225,20 @@
     run(body)
 
 
+@pytest.mark.parametrize("late_ms", [398.0, 2000.0], ids=("no time to send it", "answered at the deadline"))
+def test_a_request_that_ends_in_the_call_that_says_its_backend_is_reached_is_not_sent(late_ms: float) -> None:
+    """Guards against a host that sends a request which the very call before it had rejected or taken back."""
+    clock = JumpingClock()
+
+    async def body(placer: Placer) -> None:
+        with pytest.raises((Rejected, BackendDropped)):
+            async with placer.place() as placement:
+                clock.jumped += late_ms
+                placement.reached()
+
+    run(body, clock=clock)
+
+
 def test_use_before_the_start_after_the_close_or_elsewhere_is_a_clear_error() -> None:
     placer = Placer(SETTINGS, StaticList(MACHINES))
 
--- a/tests/middleware/test_middleware.py
+++ b/tests/middleware/test_middleware.py
@@ -19,8 +19,17 @@
 from tests.helpers import settings
 from yarrowspindle.decisions.events import EndpointState
 from yarrowspindle.decisions.settings import RequestClass
-from yarrowspindle.library import Endpoint, Placement, Placer, StaticList
-from yarrowspindle.middleware import PlacementMiddleware, relay_websocket
+from yarrowspindle.library import (
+    ConnectionClass,
+    Endpoint,
+    LibrarySettings,
+    Placement,
+    Placer,
+    Rejected,
+    StaticList,
+)
+from yarrowspindle.middleware import PlacementMiddleware, reach, relay_websocket
+from yarrowspindle.runtime import SystemClock
 
 STREAM = [(b"accept", b"text/event-stream")]
 
@@ -287,6 +296,38 @@
     run(body, EndpointState.READY, EndpointState.READY)
 
 
+class JumpingClock:
+    """The system's clock, and jumps: a loop that stood still for so long."""
+
+    def __init__(self) -> None:
+        self.system, self.jumped_ms = SystemClock(), 0.0
+
+    def now(self) -> float:
+        return self.system.now() + self.jumped_ms
+
+
+@pytest.mark.parametrize("late_ms", [298.0, 2000.0], ids=("no time to send it", "answered at the deadline"))
+def test_a_link_is_closed_where_the_request_ends_in_the_call_that_says_it_is_there(late_ms: float) -> None:
+    """Guards against a link that stays open, and carries the request, though the request was rejected meanwhile."""
+
+    async def body() -> None:
+        clock, links = JumpingClock(), list[FakeLink]()
+        classes = LibrarySettings(classes=(ConnectionClass("chat", aim_s=0.1, deadline_s=0.3),))
+        async with Placer(classes, StaticList(machines(EndpointState.READY)), seed=3, clock=clock) as placer:
+
+            async def open_link(address: Any) -> FakeLink:
+                links.append(FakeLink())
+                clock.jumped_ms += late_ms
+                return links[-1]
+
+            with pytest.raises(Rejected):
+                async with placer.place() as placement:
+                    await reach(placement, open_link)
+        assert links and all(link.closed for link in links)
+
+    asyncio.run(body())
+
+
 def test_the_lifespan_starts_and_closes_the_placer_with_and_without_the_applications_help() -> None:
     async def unaware(scope: Any, receive: Any, send: Any) -> None:
         raise RuntimeError("knows no lifespan")
--- a/yarrowspindle/library/placement.py
+++ b/yarrowspindle/library/placement.py
@@ -99,11 +99,12 @@
     def reached(self) -> None:
         """The connection to the backend is established and the request is about to be sent: it may run from here on.
 
-        Raises as `up` does.
+        Raises as `up` does, and then the request must not be sent.
         """
         self._check_usable()
         if not self.is_up:
             self.placer.post(BackendConnected(self.request, self.attempt))
+            self._check_usable()  # its time may have ended in this very call
 
     def up(self) -> None:
         """The backend has accepted the request, which is its final answer.
--- a/yarrowspindle/middleware/streams.py
+++ b/yarrowspindle/middleware/streams.py
@@ -7,8 +7,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from typing import Any, Protocol
 
+from yarrowspindle.library.errors import PlacementError
 from yarrowspindle.library.placement import Placement
 from yarrowspindle.middleware.asgi import WS_SERVICE_RESTART
 from yarrowspindle.routing.address import Address
@@ -79,12 +81,13 @@
         except OSError:  # TimeoutError among it
             await placement.failed(TerminationReason.CONNECT_FAILED)
             continue
-        if placement.moved.is_set():  # the backend drained, or the deadline passed, while the connection came up
-            await link.close()
-            await placement.failed(TerminationReason.NOT_SENT)
-            continue
-        placement.reached()
-        return link
+        with suppress(PlacementError):  # an answer is raised again below, where no other backend is tried
+            if not placement.moved.is_set():
+                placement.reached()
+                return link
+        # The backend drained, or the deadline passed, while the connection came up.
+        await link.close()
+        await placement.failed(TerminationReason.NOT_SENT)
 
 
 async def relay_websocket(  # noqa: C901  # both directions share the link and the websocket
