Pass over health checks that end while others are cancelled with them

What callers saw: nothing was reported; with [turns] and probing on, taking several backends out at once could raise KeyError half-way (read, not played with real relays).

Cause: HealthChecker.leave goes through the backends found at its start; the report on a cancelled check may end another one of them when no effect is being carried out.

Change: one that has ended meanwhile is passed over.

Evidence: test_health_checks_that_are_cancelled_together... raised KeyError in 4 of 4 cases before. The other new cases of tests/transport/test_call_outs.py (health check connections, datagram paths, the operators' API, attempts to connect) passed before and after: 108 pass.

--- a/tests/transport/test_call_outs.py
+++ b/tests/transport/test_call_outs.py
@@ -15,10 +15,18 @@
 import pytest
 import uvloop
 
+from yarrowspindle.operator_api import OperatorApi
 from yarrowspindle.protocol.lines import Open
+from yarrowspindle.routing.effects import CheckHealth
+from yarrowspindle.routing.events import HealthCheckCompleted
+from yarrowspindle.routing.termination import TerminationReason
+from yarrowspindle.runtime.health_checker import HealthChecker
+from yarrowspindle.transport import datagrams
 from yarrowspindle.transport.backend import BackendConnection
 from yarrowspindle.transport.client import ClientConnection
+from yarrowspindle.transport.connecting import ConnectFailure, Connecting
 from yarrowspindle.transport.line_connection import LineConnection
+from yarrowspindle.transport.probe import HealthCheckConnection
 
 WAIT_S = 5.0
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # of SO_LINGER
@@ -213,3 +221,192 @@
                 assert pair.calls.count("backend_over") <= 1 and pair.calls.count("request_left") <= 1
 
     loop(body())
+
+
+# --- connections of one side ----------------------------------------------------------------------
+
+
+class Told:
+    """A sink that notes what it is told, and ends the connection in its first call of this name."""
+
+    def __init__(self, name: str, end: Callable[[Any], None]) -> None:
+        self.name, self.end = name, end
+        self.calls: list[str] = []
+        self.after_the_end: list[str] = []
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        def told(side: Any, *what: Any) -> None:
+            if self.name in self.calls:
+                self.after_the_end.append(name)
+            self.calls.append(name)
+            if name == self.name and self.calls.count(name) == 1:
+                self.end(side)
+
+        return told
+
+
+@LOOPS
+@pytest.mark.parametrize("name", ("probe_answered", "probe_over"))
+@pytest.mark.parametrize(
+    "answer", (b"PONG x=1\r\n", b"PONG x=1\r\nPONG x=1\r\n", b"\xff" * 5000), ids=("one", "two", "none")
+)
+def test_a_health_check_may_be_ended_by_any_call_that_it_makes(answer: bytes, name: str, loop: Run) -> None:
+    """Guards against reading answers on a connection that was given up in the call before."""
+
+    async def body() -> None:
+        sink = Told(name, lambda side: side.end(TerminationReason.NOT_SENT, "by its sink"))
+        with no_callback_raises():
+            side = HealthCheckConnection(cast(Any, sink), "s-1")
+            side.ask()
+            backend = await connected(side)
+            await asyncio.sleep(STEP_S)
+            send(backend, answer)
+            await asyncio.sleep(STEP_S)
+            backend.close()
+            await until(lambda: side.over)
+        assert sink.calls.count("probe_over") == 1
+        assert set(sink.after_the_end) <= {"probe_over"}
+
+    loop(body())
+
+
+@LOOPS
+@pytest.mark.parametrize("next_check", ("leaves the other", "makes room by closing the other"))
+def test_health_checks_that_are_cancelled_together_may_change_the_others(next_check: str, loop: Run) -> None:
+    """Guards against a KeyError where the report on one cancelled check ends another that is about to be cancelled."""
+
+    async def body() -> None:
+        idle = [await QuietBackend().open() for _ in range(2)]
+        over: list[str] = []
+
+        def told(completed: HealthCheckCompleted) -> None:
+            over.append(completed.backend)
+            if len(over) > 1:
+                return
+            if next_check.startswith("leaves"):
+                checker.leave({"s-0", "s-1"})
+            else:
+                for name in ("s-0", "s-1"):
+                    if name in checker.backends:
+                        checker.backends[name].side.asked = False  # its answer has come
+                checker.probe(CheckHealth("s-2", idle[0].address, 500.0))
+
+        checker = HealthChecker((), 10.0, told, lambda text: None, most=1)
+        checker.most = 2
+        for number, backend in enumerate(idle):
+            checker.probe(CheckHealth(f"s-{number}", backend.address, 500.0))
+        checker.most = 1
+        checker.leave({"s-0", "s-1"})
+        assert not checker.backends.keys() & {"s-0", "s-1"}
+        checker.close()
+        for backend in idle:
+            backend.server.close()
+
+    loop(body())
+
+
+class QuietBackend:
+    """Accepts connections, and says nothing."""
+
+    async def open(self) -> QuietBackend:
+        self.server = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+        return self
+
+
+@LOOPS
+@pytest.mark.parametrize("told", ("came", "refused"))
+def test_a_datagram_path_may_be_closed_by_any_call_that_it_makes(told: str, loop: Run) -> None:
+    """Guards against sending what waits for a path that the report on the first datagram has closed."""
+
+    async def body() -> None:
+        calls: list[str] = []
+
+        def closes(name: str) -> Callable[..., None]:
+            def called(path: datagrams.Path, *what: Any) -> None:
+                calls.append(name)
+                path.close()
+
+            return called
+
+        with no_callback_raises(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as backend:
+            backend.bind(("127.0.0.1", 0))
+            address = backend.getsockname()
+            if told == "refused":
+                backend.close()
+            path = datagrams.Path(closes("came"), closes("refused"), ("127.0.0.1", 1))
+            for number in range(5):
+                path.send(b"%d" % number)
+            await asyncio.get_running_loop().create_datagram_endpoint(lambda: path, remote_addr=address)
+            if told == "came":
+                assert path.transport is not None
+                for _ in range(3):
+                    backend.sendto(b"x", path.transport.get_extra_info("sockname"))
+            await until(lambda: path.closed)
+            await asyncio.sleep(STEP_S)
+        assert calls == [told]
+
+    loop(body())
+
+
+@LOOPS
+@pytest.mark.parametrize("size", (10, 10_000_000), ids=("a short answer", "an answer larger than the buffers"))
+@pytest.mark.parametrize("ended_by", ("its route", "its caller", "nobody"))
+def test_a_call_of_the_operators_api_may_end_in_what_it_calls(ended_by: str, size: int, loop: Run) -> None:
+    """Guards against answering a call that the route itself has closed, or whose caller is gone."""
+
+    async def body() -> None:
+        failed: list[str] = []
+        callers: list[socket.socket] = []
+
+        def called() -> tuple[int, str]:
+            if ended_by == "its route":
+                api.close()
+            elif ended_by == "its caller":
+                reset(callers[0])
+            return 200, "x" * size
+
+        api = OperatorApi({"/": {"GET": called}}, failed.append)
+        await api.start("127.0.0.1", 0)
+        with no_callback_raises():
+            callers.append(socket.create_connection(("127.0.0.1", api.port)))
+            callers[0].sendall(b"GET / HTTP/1.1\r\n\r\n")
+            await asyncio.sleep(10.0 * STEP_S)
+            reset(callers[0])
+            await until(lambda: not api.calls)
+        api.close()
+        assert not failed
+
+    loop(body())
+
+
+@LOOPS
+@pytest.mark.parametrize("port_is", ("open", "closed"))
+def test_an_attempt_to_connect_may_be_cancelled_by_any_call_that_it_makes(port_is: str, loop: Run) -> None:
+    """Guards against a second report on an attempt that its first one has ended."""
+
+    async def body() -> None:
+        told: list[str] = []
+
+        class Made(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                told.append("made")
+                connecting.cancel()
+                cast(asyncio.Transport, transport).abort()
+
+        def failed(failure: ConnectFailure) -> None:
+            told.append("failed")
+            connecting.cancel()
+
+        backend = await QuietBackend().open()
+        if port_is == "closed":
+            backend.server.close()
+        with no_callback_raises():
+            connecting = Connecting(Made(), backend.address, failed)
+            connecting.start(0.5)
+            await until(lambda: bool(told))
+            await asyncio.sleep(5.0 * STEP_S)
+        assert told == ["made" if port_is == "open" else "failed"]
+        backend.server.close()
+
+    loop(body())
--- a/yarrowspindle/runtime/health_checker.py
+++ b/yarrowspindle/runtime/health_checker.py
@@ -86,7 +86,9 @@
     def leave(self, backends: Collection[str]) -> None:
         """Nothing of ours stands there any more."""
         for backend in self.backends.keys() & backends:
-            asked = self.backends.pop(backend)
+            asked = self.backends.pop(backend, None)
+            if asked is None:  # the report on another one has ended it
+                continue
             self._close(asked)
             if asked.side.asked:
                 self._tell(backend, TerminationReason.NOT_SENT, asked.since)
