Report last in the callbacks of transports, and hold that order by a test

Change: transports pass on, end and note first and report last; where something follows a report it looks anew. tests/transport/test_call_out_order.py reads their source and names every place where something follows. The front refuses a first line by a call, no longer by an error raised through the connection.

--- /dev/null
+++ b/tests/transport/test_call_out_order.py
@@ -0,0 +1,102 @@
+"""Any call to a sink or a callback may end the connection that makes it: so it comes last in what a transport does.
+
+What follows one all the same stands below, with what it looks at first.
+"""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import yarrowspindle.operator_api
+import yarrowspindle.transport
+
+FOLDERS = [Path(package.__path__[0]) for package in (yarrowspindle.transport, yarrowspindle.operator_api)]
+CALLBACKS = frozenset(("came", "refused", "failed", "made", "room", "_callback", "call"))
+HARMLESS = frozenset(("ready", "bad_line"))  # methods of sinks that only answer, or only log
+
+# Method: why what it does after a call is sound.
+LOOKS_ANEW = {
+    "BackendConnection._report": "looks whether it is closing before each report",
+    "BackendConnection.connection_lost": "`_over` looks whether its end was reported",
+    "ClientConnection._late": "sets the timer only where nothing was reported",
+    "ClientConnection.connection_lost": "its transport is gone, and what it had left is the sink's",
+    "HealthCheckConnection.data_received": "looks whether it is over before each report",
+    "WatchSide.data_received": "looks whether it is over before each report and each timer",
+    "Listener._ready": "only `close` ends it, and no call leads there",
+    "Listener._accept": "the same",
+    "Listener._accept_batch": "the same",
+    "Call.on_message_complete": "`answer` looks whether the call is done and its transport closing",
+}
+
+
+def methods() -> Iterator[tuple[str, ast.FunctionDef | ast.AsyncFunctionDef]]:
+    for folder in FOLDERS:
+        for path in sorted(folder.glob("*.py")):
+            for node in ast.parse(path.read_text(encoding="utf-8")).body:
+                if isinstance(node, ast.ClassDef):
+                    for item in node.body:
+                        if isinstance(item, ast.FunctionDef | ast.AsyncFunctionDef):
+                            yield node.name, item
+
+
+def own_calls(node: ast.AST) -> Iterator[str]:
+    """Names of the methods of its own that the code calls, and "out" for each call out of the object."""
+    for call in ast.walk(node):
+        if not isinstance(call, ast.Call):
+            continue
+        called = ast.unparse(call.func).split(".")
+        if called[:2] == ["self", "sink"] and called[2] not in HARMLESS:
+            yield "out"
+        elif len(called) == 2 and called[0] == "self":
+            yield "out" if called[1] in CALLBACKS else called[1]
+        elif len(called) == 1 and called[0] in CALLBACKS:
+            yield "out"
+
+
+def calling_out(cls: str) -> set[str]:
+    """The class's methods that call out, themselves or by way of others."""
+    calls = {method.name: set(own_calls(method)) for owner, method in methods() if owner == cls}
+    found = {"out"}
+    while more := {name for name, made in calls.items() if made & found} - found:
+        found |= more
+    return found
+
+
+def followed(block: list[ast.stmt], last: bool, out: set[str]) -> Iterator[ast.stmt]:
+    """Statements that call out and are followed by more than a return. last: nothing follows the block."""
+    for position, statement in enumerate(block):
+        rest = block[position + 1 :]
+        is_last = last and all(isinstance(after, ast.Return) and not set(own_calls(after)) for after in rest)
+        is_last = is_last or (bool(rest) and isinstance(rest[0], ast.Return) and not set(own_calls(rest[0])))
+        yield from followed_within(statement, is_last, out)
+
+
+def followed_within(statement: ast.stmt, is_last: bool, out: set[str]) -> Iterator[ast.stmt]:
+    if isinstance(statement, ast.If):
+        yield from (statement for _ in set(own_calls(statement.test)) & out)
+        yield from followed(statement.body, is_last, out)
+        yield from followed(statement.orelse, is_last, out)
+    elif isinstance(statement, ast.For | ast.While | ast.AsyncFor):
+        yield from followed(statement.body, False, out)
+    elif isinstance(statement, ast.With | ast.AsyncWith):
+        yield from followed(statement.body, is_last, out)
+    elif isinstance(statement, ast.Try):
+        yield from followed(statement.body, is_last and not statement.orelse and not statement.finalbody, out)
+        for handler in statement.handlers:
+            yield from followed(handler.body, is_last and not statement.finalbody, out)
+        yield from followed(statement.orelse, is_last and not statement.finalbody, out)
+    elif isinstance(statement, ast.FunctionDef | ast.AsyncFunctionDef | ast.ClassDef):
+        return
+    elif set(own_calls(statement)) & out and not is_last and not isinstance(statement, ast.Return):
+        yield statement
+
+
+def test_a_transport_calls_out_last_or_looks_anew_afterwards() -> None:
+    """Guards against using a connection after a call that may have ended it: resets overtook MOVE."""
+    found: dict[str, list[str]] = {}
+    for cls, method in methods():
+        for statement in followed(method.body, True, calling_out(cls)):
+            found.setdefault(f"{cls}.{method.name}", []).append(f"{statement.lineno}: {ast.unparse(statement)}")
+    assert found.keys() == LOOKS_ANEW.keys(), {name: found.get(name) for name in found.keys() ^ LOOKS_ANEW.keys()}
--- a/tests/transport/test_call_outs.py
+++ b/tests/transport/test_call_outs.py
@@ -16,6 +16,7 @@
 import uvloop
 
 from yarrowspindle.operator_api import OperatorApi
+from yarrowspindle.protocol.endpoint_list import Names
 from yarrowspindle.protocol.lines import Open
 from yarrowspindle.routing.effects import CheckHealth
 from yarrowspindle.routing.events import HealthCheckCompleted
@@ -25,6 +26,7 @@
 from yarrowspindle.transport.backend import BackendConnection
 from yarrowspindle.transport.client import ClientConnection
 from yarrowspindle.transport.connecting import ConnectFailure, Connecting
+from yarrowspindle.transport.endpoint_list import WatchSide
 from yarrowspindle.transport.line_connection import LineConnection
 from yarrowspindle.transport.probe import HealthCheckConnection
 
@@ -245,6 +247,39 @@
         return told
 
 
+def json_list(version: int) -> bytes:
+    line = b'{"revision":%d,"complete":true,"members":[]}\n' % version
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@LOOPS
+@pytest.mark.parametrize("name", ("list_told", "watch_heard", "watch_over"))
+@pytest.mark.parametrize("last", (b"", b"0\r\n\r\n", b"1\r\n{\r\n0\r\n\r\n", b"nonsense"), ids=repr)
+def test_a_watch_may_be_ended_by_any_call_that_it_makes(last: bytes, name: str, loop: Run) -> None:
+    """Guards against telling lists of a watch that was given up in the call before."""
+
+    async def body() -> None:
+        sink = Told(name, lambda watch: watch.end("by its sink"))
+        with no_callback_raises():
+            watch = WatchSide(cast(Any, sink), Names(), ("127.0.0.1", 1), 0)
+            watch.begin()
+            service = await connected(watch)
+            send(service, HEAD + json_list(2) + json_list(3))
+            await asyncio.sleep(STEP_S)
+            send(service, json_list(4) + last)
+            await asyncio.sleep(STEP_S)
+            service.close()
+            await until(lambda: watch.over)
+            await asyncio.sleep(STEP_S)
+        assert sink.calls.count("watch_over") == 1
+        assert set(sink.after_the_end) <= {"watch_over"}
+
+    loop(body())
+
+
 @LOOPS
 @pytest.mark.parametrize("name", ("probe_answered", "probe_over"))
 @pytest.mark.parametrize(
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -146,13 +146,25 @@
         self.door.on_accepted(side)
 
     def request_came(self, side: ClientConnection, opened: Open) -> None:
+        try:
+            arrived = self._request_of(side, opened)
+        except LineError as error:
+            side.refuse(str(error))
+            return
+        self.door.on_request(side)
+        side.request = arrived.request = self.hub.new_request(self)
+        self.clients[side.request], self.opened[side.request] = side, opened
+        self.hub.post(arrived)
+
+    def _request_of(self, side: ClientConnection, opened: Open) -> RequestReceived:
+        """The request that a first line stands for. Raises LineError where it makes no sense."""
         config = self.config
         try:
             cls = self.hub.config.current_classes[opened.get("c")]
             tenant = config.tenants.index(opened.get("t")) if config.tenants else 0
         except (KeyError, ValueError):
             raise LineError("a class or tenant that the settings do not name") from None
-        arrived = RequestReceived(
+        return RequestReceived(
             0,
             opened.number("d") - self._unread_ms(side),
             cls,
@@ -165,10 +177,6 @@
             opened.get("at"),
             opened.id,
         )
-        self.door.on_request(side)
-        side.request = arrived.request = self.hub.new_request(self)
-        self.clients[side.request], self.opened[side.request] = side, opened
-        self.hub.post(arrived)
 
     def request_out_of_turn(self, request: int) -> None:
         self.hub.post(UnexpectedClientData(request))
--- a/yarrowspindle/runtime/health_checker.py
+++ b/yarrowspindle/runtime/health_checker.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Collection
 from functools import partial
 
-from yarrowspindle.protocol.lines import report_of
+from yarrowspindle.protocol.lines import LineError, report_of
 from yarrowspindle.routing.address import Address
 from yarrowspindle.routing.effects import CheckHealth
 from yarrowspindle.routing.events import HealthCheckCompleted
@@ -131,7 +131,11 @@
         asked = self.backends.get(side.backend)
         if asked is None or asked.side is not side:
             return
-        report = report_of(line, self.fields)  # a LineError ends the connection
+        try:
+            report = report_of(line, self.fields)
+        except LineError as error:
+            side.end(TerminationReason.PROTOCOL_ERROR, str(error))
+            return
         if asked.late is not None:
             asked.late.cancel()
         asked.late = SilenceTimer(self.idle_s, self._idle, side)
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -22,6 +22,8 @@
 
 
 class BackendSink(Protocol):
+    """What a backend's connection reports to. Any call but `bad_line` may end the connection."""
+
     def backend_reached(self, side: BackendConnection) -> None: ...
     def backend_up(self, side: BackendConnection) -> None: ...
     def backend_answered(self, request: int, lines: int) -> None: ...
@@ -101,17 +103,25 @@
             self.sink.bad_line(f"an execute node sent {error}")
             self._over(TerminationReason.CONNECTION_RESET)
             return
+        self._report(whole)
+
+    def _report(self, whole: list[bytes]) -> None:
+        """Reports loads, then how many lines answer the client's, until a report ends the connection."""
+        loads: list[float] = []
         answers = 0
         for line in whole:
             word = word_of(line)
             if word is Word.LOAD:
                 load = load_of(line)
                 if load is not None:
-                    self.sink.backend_load(self.request, load)
+                    loads.append(load)
             else:
                 self.last = ANSWERS.get(word)
                 answers += self.last is None
-        if answers:
+        for load in loads:
+            if not self.closing:
+                self.sink.backend_load(self.request, load)
+        if answers and not self.closing:
             self.sink.backend_answered(self.request, answers)
 
     def move(self, client: LineConnection) -> None:
@@ -163,11 +173,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self.sink.backend_lost(self)
         sent = self.asked and (self.transport is None or self.transport.get_write_buffer_size() == 0)
         self.transport = None
         if self.moving is not None:
             self._moved()
+        self.sink.backend_lost(self)
         self._end(sent)
 
     def _end(self, sent: bool = True) -> None:
@@ -179,5 +189,5 @@
     def _over(self, ending: TerminationReason) -> None:
         if not self.told:
             self.told = True
-            self.sink.backend_over(self, ending)
             self.finish()
+            self.sink.backend_over(self, ending)
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -14,6 +14,8 @@
 
 
 class ClientSink(Protocol):
+    """What a client's connection reports to. Any call but `ready` may end the connection."""
+
     def ready(self) -> bool: ...
     def client_came(self, side: ClientConnection) -> None: ...
     def request_came(self, side: ClientConnection, opened: Open) -> None: ...
@@ -56,22 +58,24 @@
     def _open(self, data: bytes) -> None:
         try:
             answers, opened = self.opening.feed(data, self.sink.ready())
-            if answers:
-                self.write(answers)
-            if opened is not None:
-                self.sink.request_came(self, opened)
-                self._heard()
         except LineError as error:
-            self._refuse(str(error))
-
-    def _refuse(self, why: str) -> None:
+            self.refuse(str(error))
+            return
+        if answers:
+            self.write(answers)
+        if opened is not None:
+            self._heard()
+            self.sink.request_came(self, opened)
+
+    def refuse(self, why: str) -> None:
+        """Ends a connection whose first line makes no sense."""
         self._heard()
         self.finish(lines.FAILED)
         self.sink.client_refused(self, why)
 
     def _late(self) -> None:
         if self.opening.rest:
-            self._refuse("half a line")
+            self.refuse("half a line")
         elif not self.rest_over():
             self.wait = SilenceTimer(0.0, self._late)  # once its bytes are read
 
@@ -99,15 +103,16 @@
 
     def eof_received(self) -> bool:
         if not self.request and not self.closing and self.opening.rest:
-            self._refuse("half a line")
-        self._leave()
+            self.refuse("half a line")
+        else:
+            self._leave()
         return False  # the transport closes once all is written
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._heard()
-        self._leave()
         self.transport = None
+        self._leave()
         self.sink.client_lost(self)
 
     def _leave(self) -> None:
--- a/yarrowspindle/transport/datagrams.py
+++ b/yarrowspindle/transport/datagrams.py
@@ -63,7 +63,8 @@
             return
         pending, self.pending = self.pending, []
         for data in pending:
-            self.transport.sendto(data)
+            if not self.closed:  # the event loop may report at once that one was refused
+                self.transport.sendto(data)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         if not self.closed:
--- a/yarrowspindle/transport/endpoint_list.py
+++ b/yarrowspindle/transport/endpoint_list.py
@@ -16,6 +16,8 @@
 
 
 class WatchSink(Protocol):
+    """What a watch reports to. Any call may end the watch."""
+
     def list_told(self, watch: WatchSide, told: EndpointsUpdated) -> None: ...
     def watch_heard(self, watch: WatchSide) -> None: ...
     def watch_over(self, watch: WatchSide, why: str) -> None: ...
@@ -50,13 +52,15 @@
         if self.over:
             return
         try:
-            for told in self.answer.feed(data):
-                self.told = True
-                self.sink.list_told(self, told)
+            updates = self.answer.feed(data)
         except ListError as error:
             self.end(str(error))
             return
-        if self.told:
+        for update in updates:
+            if not self.over:
+                self.told = True
+                self.sink.list_told(self, update)
+        if self.told and not self.over:
             self.sink.watch_heard(self)
         if self.answer.ended:
             self.end("the watch ended")
--- a/yarrowspindle/transport/probe.py
+++ b/yarrowspindle/transport/probe.py
@@ -10,6 +10,8 @@
 
 
 class ProbeSink(Protocol):
+    """What a connection for health checks reports to. Any call may end the connection."""
+
     def probe_answered(self, side: HealthCheckConnection, line: bytes) -> None: ...
     def probe_over(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None: ...
 
@@ -41,13 +43,16 @@
         if self.over:
             return
         try:
-            for line in self.lines.feed(data):
-                if not self.asked:
-                    raise LineError(f"{line[:60]!r} that nobody asked for")
-                self.asked = False
-                self.sink.probe_answered(self, line)
+            lines = self.lines.feed(data)
         except LineError as error:
             self.end(TerminationReason.PROTOCOL_ERROR, str(error))
+            return
+        for line in lines:
+            if not self.asked:
+                self.end(TerminationReason.PROTOCOL_ERROR, f"{line[:60]!r} that nobody asked for")
+            if not self.over:
+                self.asked = False
+                self.sink.probe_answered(self, line)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.end(TerminationReason.CONNECTION_RESET, "the connection ended")
