Print the whole traceback of a relay in the soak's report, and the lines before it

Change: a crash carries the rows of the log: twenty lines before, and all lines up to the relay's own next one.

Result: test_a_failure_in_a_log_is_reported_with_its_whole_traceback_and_the_lines_before.

--- a/benchmarks/soak/ending.py
+++ b/benchmarks/soak/ending.py
@@ -7,7 +7,7 @@
 from math import inf
 from random import Random
 
-from benchmarks.soak.oracle import HELD_UP_S, Request, Rule
+from benchmarks.soak.oracle import HELD_UP_S, Crash, Request, Rule
 from benchmarks.soak.relays import Relay
 
 LONGEST_S, KILL_S = 3.0, 0.7  # SIGKILL comes no sooner after SIGTERM than the longest deadline and this
@@ -67,7 +67,7 @@
         if is_held(request) and all(attempt.ended_there > now for attempt in attempts):
             oracle.broken(Rule.LOST, request.name, f"still held at SIGKILL, {late}")
     if serves and slack_s == 0.0:
-        oracle.crashes.append(f"{relay.instance} still serves {late}, when SIGKILL comes")
+        oracle.crashes.append(Crash(f"{relay.instance} still serves {late}, when SIGKILL comes"))
 
 
 def is_held(request: Request) -> bool:
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -72,9 +72,20 @@
 
 @dataclass(slots=True, frozen=True)
 class Violation:
+    """rows: what is known of it besides the request's timeline, for the report."""
+
     rule: Rule
     request: str
     what: str
+    rows: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Crash:
+    """A relay's process that failed. rows: of its log."""
+
+    what: str
+    rows: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,7 +118,7 @@
         self.starts: dict[str, list[float]] = {}  # backend -> when it started anew
         self.start_told: dict[tuple[str, str], list[float]] = {}
         self.lags: list[tuple[float, float]] = []  # when this process was late, and by how much
-        self.crashes: list[str] = []
+        self.crashes: list[Crash] = []
         self.violations: list[Violation] = []
 
     # --- spans that count for nobody --------------------------------------------------------------
@@ -139,7 +150,7 @@
             for start in starts:
                 self._cold(backend, start, budget)
         for crash in self.crashes:
-            self.broken(Rule.CRASHED, "", crash)
+            self.violations.append(Violation(Rule.CRASHED, "", crash.what, crash.rows))
         return self.violations
 
     def broken(self, rule: Rule, request: str, what: str) -> None:
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -52,7 +52,7 @@
         found = [head] + [f"  {trouble}" for trouble in plan.troubles]
         for violation in self.violations[:MAX_SHOWN]:
             found.append(f"  VIOLATION {violation.rule.value} {violation.request}: {violation.what}")
-            found += [f"      {row}" for row in self.timelines.get(violation.request, [])]
+            found += [f"      {row}" for row in (*violation.rows, *self.timelines.get(violation.request, []))]
         if len(self.violations) > MAX_SHOWN:
             found.append(f"  and {len(self.violations) - MAX_SHOWN} more violations")
         return found
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 import time
@@ -15,13 +16,25 @@
 from typing import Any
 
 from benchmarks.soak.discovery import Discovery
-from benchmarks.soak.oracle import Request
+from benchmarks.soak.oracle import Crash, Request
 from benchmarks.soak.shim import Field, Page
 from benchmarks.soak.world import World
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_S, ASK_S = 10.0, 0.05
-LOG_BAD = (b"Traceback (most recent call last)", b" invariant ", b"Exception in callback")
+LOG_BAD = ("Traceback (most recent call last)", " invariant ", "Exception in callback")
+LOG_LINE = re.compile(r"\d\d:\d\d:\d\d\.\d\d\d [A-Z]+ ")  # what the relay's own lines begin with
+ROWS_BEFORE, MAX_ROWS_AFTER = 20, 80
+
+
+def failure_in(log: list[str]) -> Crash | None:
+    """The first failure that a relay's log tells of: the whole traceback, and the lines before it."""
+    for number, line in enumerate(log):
+        if any(bad in line for bad in LOG_BAD):
+            after = log[number + 1 : number + 1 + MAX_ROWS_AFTER]
+            own = next((count for count, row in enumerate(after) if LOG_LINE.match(row)), len(after))
+            return Crash(f"logged: {line[-300:]}", tuple(log[max(0, number - ROWS_BEFORE) : number + 1] + after[:own]))
+    return None
 
 
 def run_command() -> str:
@@ -119,7 +132,7 @@
                     self.serves = True
                     return
             await asyncio.sleep(ASK_S)
-        self.world.oracle.crashes.append(f"{self.instance} is not ready after {READY_S:g} s")
+        self.world.oracle.crashes.append(Crash(f"{self.instance} is not ready after {READY_S:g} s"))
 
     @property
     def alive(self) -> bool:
@@ -165,19 +178,18 @@
         """After SIGTERM, whether by itself or killed: how it ended."""
         self.serves = False
         if self.process is not None and self.process.returncode not in (0, -signal.SIGKILL, None):
-            self.world.oracle.crashes.append(f"{self.instance} ended with {self.process.returncode}")
+            self.world.oracle.crashes.append(Crash(f"{self.instance} ended with {self.process.returncode}"))
         self._read_log()
 
     def _read_log(self) -> None:
-        for line in self.log_path().read_bytes().splitlines():
-            if any(bad in line for bad in LOG_BAD):
-                self.world.oracle.crashes.append(f"{self.instance} logged: {line[-300:].decode('utf-8', 'replace')}")
-                return
+        failure = failure_in(self.log_path().read_text("utf-8", "replace").splitlines())
+        if failure is not None:
+            self.world.oracle.crashes.append(Crash(f"{self.instance} {failure.what}", failure.rows))
 
     def look(self) -> None:
         """Whether it has ended by itself."""
         if self.serves and not self.ending and not self.alive and not self.busy.locked():
             self.serves = False
             code = self.process.returncode if self.process is not None else None
-            self.world.oracle.crashes.append(f"{self.instance} ended by itself with {code}")
+            self.world.oracle.crashes.append(Crash(f"{self.instance} ended by itself with {code}"))
             self._read_log()
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -12,6 +12,7 @@
 
 from benchmarks.soak.oracle import Attempt, Budget, Oracle, Request, Rule
 from benchmarks.soak.plan import TROUBLES, all_pairs, plan_of
+from benchmarks.soak.relays import failure_in
 from benchmarks.soak.shim import SOURCE, Field
 from tests.stand_ins import ROOT
 
@@ -185,6 +186,23 @@
     assert found == ({rule} if rule else set())
 
 
+def test_a_failure_in_a_log_is_reported_with_its_whole_traceback_and_the_lines_before() -> None:
+    own = [f"10:00:00.{number:03d} DEBUG line {number}" for number in range(50)]
+    traceback = [
+        "Fatal error on transport TCPTransport",
+        "Traceback (most recent call last):",
+        '  File "client.py", line 50, in data_received',
+        "AttributeError: no attribute 'write'",
+    ]
+    assert failure_in(own) is None
+    found = failure_in([*own, *traceback, "10:00:01.000 INFO stopped"])
+    assert found is not None and found.what == "logged: Traceback (most recent call last):"
+    assert found.rows[-4:] == tuple(traceback) and own[-1] in found.rows and len(found.rows) == 23
+    oracle = Oracle(GRACE_S)
+    oracle.crashes.append(found)
+    assert [violation.rows for violation in oracle.judge(1.0, BUDGET)] == [found.rows]
+
+
 def soak(*words: str) -> tuple[int, dict[str, object], str]:
     command = [sys.executable, "-m", "benchmarks.soak", "--seconds", "8", "--json", *words]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=120, check=False)
