Let the soak's oracle ask the socket, and count nothing by the soak's own clock

Cause: a line that crosses the end of a rested connection was told by time: 50 ms and the largest single lateness of the soak, whose reading of an end takes several turns.

Change: first lines are sent by a system call and the client's socket is polled behind it. Answers have the kernel's time, attempts and their ends too where they are read late; what the soak does is noted once it is done. A relay that waits for a processor is excused for so long as schedstat tells. More lines come as a relay ends, some in a hold.

--- /dev/null
+++ b/benchmarks/soak/arrivals.py
@@ -0,0 +1,57 @@
+"""When the peer's bytes or end arrived in this machine's kernel, however late this process is to read them."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+
+SO_TIMESTAMPNS = 35  # of asm-generic/socket.h: the kernel notes the wall clock's time of what arrives
+TIMESPEC = struct.Struct("@qq")
+ANCILLARY_BYTES = 128
+# Of struct tcp_info in linux/tcp.h: milliseconds since the newest data, and the newest segment of any kind, came.
+LAST_DATA_RECEIVED_OFFSET, LAST_ACK_RECEIVED_OFFSET = 52, 56
+MILLISECONDS = struct.Struct("@I")
+TCP_INFO_BYTES = LAST_ACK_RECEIVED_OFFSET + MILLISECONDS.size
+CLOCK_TICK_S = 0.01  # at the most, of the kernel's clock behind these two
+
+
+def note_arrivals(sock: socket.socket) -> None:
+    """From here on `read_first_byte` knows when a byte arrived."""
+    sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+
+
+def read_first_byte(sock: socket.socket) -> tuple[bytes, float]:
+    """Reads one byte; returns it with its age in seconds. Raises OSError as `recv` does; b"" is the peer's end."""
+    data, ancillary, _, _ = sock.recvmsg(1, ANCILLARY_BYTES)
+    for level, kind, value in ancillary:
+        if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS:
+            seconds, nanoseconds = TIMESPEC.unpack(value[: TIMESPEC.size])
+            return data, max(0.0, time.time() - seconds - nanoseconds / 1e9)
+    return data, 0.0
+
+
+def data_age_s(sock: socket.socket | None) -> float:
+    """How long ago the newest data arrived, to a tick of the kernel; 0 where that is less than a tick, or not known.
+
+    So what is read as it arrives keeps the order in which it is read.
+    """
+    return _age_s(sock, LAST_DATA_RECEIVED_OFFSET)
+
+
+def end_age_s(sock: socket.socket | None) -> float:
+    """The same of the peer's end, where nothing was sent since it came."""
+    return _age_s(sock, LAST_ACK_RECEIVED_OFFSET)
+
+
+def _age_s(sock: socket.socket | None, offset: int) -> float:
+    if sock is None:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    age_s = int(MILLISECONDS.unpack_from(info, offset)[0]) / 1000.0
+    return age_s if age_s > CLOCK_TICK_S else 0.0
--- a/benchmarks/soak/backends.py
+++ b/benchmarks/soak/backends.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any, cast
 
+from benchmarks.soak.arrivals import data_age_s, end_age_s
 from benchmarks.soak.oracle import Attempt
 from benchmarks.soak.world import LINE_END, World
 
@@ -126,11 +127,11 @@
             inner.write(self.waiting)
 
     def data_received(self, data: bytes) -> None:
-        now = self.world.now()
         if self.attempt is None and len(self.first) < MAX_FIRST:
-            self.first_at = self.first_at if self.first else now
+            arrived = self.world.now() - data_age_s(self._socket())
+            self.first_at = self.first_at if self.first else arrived
             self.first += data
-            self._look(now)
+            self._look(arrived)
         wire = self.backend.wire
         self.silent = self.silent or wire == "cut"
         if self.silent:
@@ -216,7 +217,10 @@
 
     def _over(self) -> None:
         if self.attempt is not None:
-            self.attempt.over = min(self.attempt.over, self.world.now())
+            self.attempt.over = min(self.attempt.over, self.world.now() - end_age_s(self._socket()))
+
+    def _socket(self) -> socket.socket | None:
+        return self.transport.get_extra_info("socket") if self.transport is not None else None
 
 
 class InnerEnd(asyncio.Protocol):
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 from random import Random
 
+from benchmarks.soak.connection import Connection
 from benchmarks.soak.oracle import Request
 from benchmarks.soak.relays import Relay
 from benchmarks.soak.world import World
@@ -14,12 +16,16 @@
 FOLLOW_S = 0.3  # for so long after SIGTERM connections go on coming
 CLASS_WEIGHTS = (3, 1, 1)  # most requests are of the class that may run once
 LEAVING, RUDE = 0.06, 0.03  # at all times
-RESTING = 0.1  # of the connections rest before they ask
-LOOK_S = 0.05
+RESTING, RESTING_AT_END = 0.1, 0.5  # of the connections rest before they ask; of those that come to a relay that ends
+LOOK_S, LOOK_AT_END_S = 0.05, 0.01
 MAX_REST_S = 2.3  # beyond the time that a relay leaves them
 LAST_MOMENT_S = 0.15  # around the moment in which a relay that was told to end answers those who wait
+LAST_INSTANT = 20.0  # half of these come that many times closer to it
 PATIENCE_S = 6.0  # over its time, until a client that was not answered gives up
-RESETS = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+CONNECT_S = 3.0
+SPEAK_S = 0.15  # between two lines of a client whose connection stands
+SECOND_ANSWER_S = 0.3  # for so long after its answer a client would hear another
+PROMPT_S = 0.02  # a line that comes later on its connection than this is a rested one's, however late we are ourselves
 NONSENSE = (
     b"\x00" * 200,
     b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -32,6 +38,44 @@
 )
 
 
+class Conversation:
+    """One request on its connection: what its client has asked and heard."""
+
+    def __init__(self, now: Callable[[], float], request: Request) -> None:
+        self.now, self.request = now, request
+        self.connection = Connection(now, self._on_line)
+        self.greetings = 0  # lines that came before the request was sent
+
+    def ask(self, last: bytes) -> None:
+        """Sends the last part of the first line, and looks at once whether the relay had ended a rested connection.
+
+        On loopback the line is in the relay's socket when the call returns. So an end that is not there by then comes
+        from a relay that could have read the line, whatever time passes until it is seen.
+        """
+        request, connection = self.request, self.connection
+        request.rested = request.rested or self.now() > connection.connected_at + PROMPT_S
+        connection.send(last)
+        request.crossed = request.rested and connection.end_is_there(instant=True)
+        request.sent = self.now()
+
+    def _on_line(self, line: bytes, at: float) -> None:
+        request = self.request
+        if not line:
+            request.ended = min(request.ended, at)
+        elif request.sent == inf:
+            self.greetings += 1
+        else:
+            self._on_answer(line.split()[0].decode("ascii", "replace") if line.split() else "", at)
+
+    def _on_answer(self, word: str, at: float) -> None:
+        request = self.request
+        if word in ("MOVE", "BYE"):
+            request.moved = True
+            request.ended = min(request.ended, at)
+        elif not request.answers or (word in ("BUSY", "ERR") and request.answers[0][1] != "UP"):
+            request.answers.append((at, word if word in ("UP", "BUSY") else "ERR"))
+
+
 class Clients:
     """leaving: the share of clients that leave early; rude: of those that make no sense."""
 
@@ -73,117 +117,102 @@
             line += f",g={self.random.randrange(1, 40):x}"
         return request, f"{line}\r\n".encode()
 
-    async def _connect(self, relay: Relay) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-        try:
-            return await asyncio.wait_for(asyncio.open_connection(*relay.address), 3.0)
-        except (OSError, TimeoutError):
-            return None
-
     async def _ask(self, relay: Relay) -> None:
         request, line = self._request(relay)
-        ends = await self._connect(relay)
-        if ends is None:
+        conversation = Conversation(self.world.now, request)
+        connection = conversation.connection
+        if not await connection.open(relay.address, CONNECT_S):
             return
-        reader, writer = ends
         request.relay = relay.instance
         self.asked += 1
         self.world.oracle.requests[request.name] = request
-        relay.open.add(request)
+        relay.open[request] = connection
         try:
-            if self.resting.random() < RESTING:
+            if self.resting.random() < (RESTING_AT_END if relay.ending else RESTING):
                 request.rested = True
-                if not await self._rest(relay, reader, writer):
+                if not await self._rest(relay, conversation):
                     return
-            await self._say(request, writer, line)
-            if reader.at_eof():
-                return
-            request.sent = self.world.now()
-            await self._hear(request, reader, writer)
+            await self._say(conversation, line)
+            await self._hear(conversation)
         except ConnectionError:
             request.ended = min(request.ended, self.world.now())
         finally:
-            relay.open.discard(request)
-            writer.close()
+            del relay.open[request]
+            connection.close()
 
-    async def _rest(self, relay: Relay, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        """The connection rests; half of them ask in the moment in which a relay that was told to end ends them.
+    async def _rest(self, relay: Relay, conversation: Conversation) -> bool:
+        """The connection rests; half of them, and all that come to a relay that ends, until it ends them.
 
         Returns False where the relay has ended it meanwhile.
         """
-        instance = relay.instance
+        instance, connection = relay.instance, conversation.connection
         if self.resting.random() < 0.5:
-            writer.write(b"PING\r\n")
-            if not await reader.readline():
-                return False
+            connection.send(b"PING\r\n")
+            while not conversation.greetings and not connection.ended:
+                await connection.wait(LOOK_S)
         asks_at = self.world.now() + self.resting.uniform(0.0, MAX_REST_S)
-        last_moment_s = self.resting.uniform(-LAST_MOMENT_S, LAST_MOMENT_S) if self.resting.random() < 0.5 else None
-        while (left_s := asks_at - self.world.now()) > 0.0:
-            if relay.ending and relay.instance == instance and last_moment_s is not None:
-                asks_at, last_moment_s = relay.told_to_end + relay.answers_last_s + last_moment_s, None
-                continue
-            try:
-                return bool(await asyncio.wait_for(reader.readline(), min(left_s, LOOK_S)))
-            except TimeoutError:
-                continue
-        return True
-
-    async def _say(self, request: Request, writer: asyncio.StreamWriter, line: bytes) -> None:
+        until_the_end = self.resting.random() < 0.5 or relay.ending
+        while not connection.ended and (left_s := asks_at - self.world.now()) > 0.0:
+            if until_the_end and relay.ending and relay.instance == instance:
+                await self._rest_until_the_end(relay, connection)
+                break
+            await connection.wait(min(left_s, LOOK_S))
+        return not connection.ended
+
+    async def _rest_until_the_end(self, relay: Relay, connection: Connection) -> None:
+        """Rests until about the moment in which the relay answers those who wait, or is held before that."""
+        moment_s = self.resting.uniform(-LAST_MOMENT_S, LAST_MOMENT_S) / self.resting.choice((1.0, LAST_INSTANT))
+        asks_in_a_hold = self.resting.random() < 0.5
+        asks_at = relay.told_to_end + relay.answers_last_s + moment_s
+        while not connection.ended and (left_s := asks_at - self.world.now()) > 0.0:
+            if asks_in_a_hold and relay.stopped_at is not None:
+                return  # the line lies in its socket when it goes on
+            await connection.wait(min(left_s, LOOK_AT_END_S))
+
+    async def _say(self, conversation: Conversation, line: bytes) -> None:
         if self.random.random() >= 0.08 + self.piecewise:
-            writer.write(line)
+            conversation.ask(line)
             return
-        request.rested = True
+        conversation.request.rested = True
         at = self.random.randrange(1, len(line))
-        writer.write(line[:at])
+        conversation.connection.send(line[:at])
         await asyncio.sleep(self.random.uniform(0.001, 0.06))
-        writer.write(line[at:])
+        conversation.ask(line[at:])
 
-    async def _hear(self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        oracle = self.world.oracle
+    async def _hear(self, conversation: Conversation) -> None:
+        request, connection = conversation.request, conversation.connection
         gone = self.random.uniform(0.0, 0.3) if self.random.random() < self.leaving else None
         until = request.sent + (gone if gone is not None else request.deadline_s + PATIENCE_S)
         spoken = request.sent
-        while True:
-            left = until - self.world.now()
-            try:
-                line = await asyncio.wait_for(reader.readline(), max(0.0, min(left, 0.15)))
-            except TimeoutError:
-                now = self.world.now()
-                if now >= until:
-                    self._leave(request, writer, gone is not None)
-                    return
-                if request.answers and now > spoken + 0.15:
-                    spoken = now
-                    writer.write(b"a line\r\n")
-                continue
+        while not connection.ended and not request.moved:
+            await connection.wait(min(until - self.world.now(), SPEAK_S))
+            connection.read()  # what is there by now, however late this process is
             now = self.world.now()
-            if not line:
-                request.ended = now
+            if request.answers and request.answers[0][1] != "UP":
+                until = min(until, request.answers[-1][0] + SECOND_ANSWER_S)
+            if connection.ended or request.moved:
                 return
-            word = line.split()[0].decode("ascii", "replace") if line.split() else ""
-            if word in ("MOVE", "BYE"):
-                request.moved = True
-                request.ended = now
-                oracle.requests[request.name] = request
+            if now >= until:
+                self._leave(conversation, gone is not None)
                 return
-            if not request.answers or (word in ("BUSY", "ERR") and request.answers[0][1] != "UP"):
-                request.answers.append((now, word if word in ("UP", "BUSY") else "ERR"))
-                if word != "UP":
-                    until = now + 0.3  # a second answer would be heard
+            if request.answers and now > spoken + SPEAK_S:
+                spoken = now
+                with suppress(BlockingIOError):
+                    connection.send(b"a line\r\n")
 
-    def _leave(self, request: Request, writer: asyncio.StreamWriter, early: bool) -> None:
+    def _leave(self, conversation: Conversation, early: bool) -> None:
         how = self.random.randrange(3) if early else 0
-        request.left = self.world.now()
-        if how == 1:
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
-            writer.transport.abort()
-        elif how == 2 and writer.can_write_eof():
-            writer.write_eof()
+        if how == 2:
+            conversation.connection.end_sending()
+        else:
+            conversation.connection.close(reset=how == 1)
+        conversation.request.left = self.world.now()
 
     async def _rude(self, relay: Relay) -> None:
-        ends = await self._connect(relay)
-        if ends is None:
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*relay.address), CONNECT_S)
+        except (OSError, TimeoutError):
             return
-        reader, writer = ends
         with suppress(ConnectionError, TimeoutError):
             writer.write(self.random.choice(NONSENSE))
             await asyncio.wait_for(reader.read(1000), self.random.uniform(0.2, 4.0))
--- a/benchmarks/soak/discovery.py
+++ b/benchmarks/soak/discovery.py
@@ -87,18 +87,19 @@
 
     def change(self, backend: Backend, phase: str) -> None:
         """Discovery has it from now on, and tells those whose watches are open."""
-        now, oracle = self.world.now(), self.world.oracle
         backend.phase = phase
         self.version += 1
         (self.gone.add if phase == "gone" else self.gone.discard)(backend.name)
-        if self.down_since is None:
-            oracle.changes.setdefault(backend.name, []).append((now, phase == "ready"))
         told = {"revision": self.version, "complete": False, "members": [backend.entry()]}
         for watch in list(self.watches):
             if not watch.silent and not watch.writer.is_closing():
                 watch.writer.write(chunk(self._indented(told)))
                 self._told(watch, [backend])
-        if self.pushed and self.down_since is None:
+        if self.down_since is not None:
+            return
+        now = self.world.now()  # once it is written, however late this process is
+        self.world.oracle.changes.setdefault(backend.name, []).append((now, phase == "ready"))
+        if self.pushed:
             for relay in self.relays.values():
                 self._note(relay, backend, now)
 
@@ -132,11 +133,12 @@
 
     async def come_back(self) -> None:
         if self.down_since is not None:
-            self.world.oracle.down.append((self.down_since, self.world.now()))
+            down_since = self.down_since
             self.behaviour, self.down_since = "", None
             for address, relay in self.relays.items():
                 await self.open(address, relay)
             now = self.world.now()
+            self.world.oracle.down.append((down_since, now))
             for backend in self.backends:
                 changes = self.world.oracle.changes.setdefault(backend.name, [(0.0, True)])
                 ready = backend.phase == "ready"
--- a/benchmarks/soak/ending.py
+++ b/benchmarks/soak/ending.py
@@ -15,16 +15,17 @@
 ANSWERS_S = (0.25, 0.42)  # before the kill: when a relay answers those who wait, and ends those who rest
 HOLDS_S = 0.14  # of all holds together: no more than a relay has to bear
 LOOK_S = 0.005
-HEAR_S = 0.15  # until the clients have read what the relay had written before the kill
+NEGLIGIBLE_S = 0.01  # a relay that was held for less has to have ended
 STOPPED = b" stopped: "  # in the log of a relay that has served its last client
 
 
 async def end(relay: Relay) -> None:
     """Tells a relay to end, and kills it when the page allows that; judges what it still held then."""
     random = Random(f"end {relay.world.plan.seed} {relay.instance}")
-    relay.ending, relay.told_to_end = True, relay.world.now()
-    kill_at = relay.told_to_end + min(relay.longest_s, LONGEST_S) + KILL_S
+    relay.ending = True
     relay.send(signal.SIGTERM)
+    relay.told_to_end = relay.world.now()
+    kill_at = relay.told_to_end + min(relay.longest_s, LONGEST_S) + KILL_S
     disturbances = [asyncio.ensure_future(_signals_in_series(relay, random))]
     if random.random() < 0.5:
         disturbances.append(asyncio.ensure_future(_hold_again_and_again(relay, kill_at, random)))
@@ -54,19 +55,23 @@
 async def _kill(relay: Relay) -> None:
     """Whoever has neither its answer nor MOVE by now is lost, unless the relay was held for longer than it may be."""
     oracle, began, now = relay.world.oracle, relay.told_to_end, relay.world.now()
-    held = [request for request in relay.open if is_held(request)]
-    slack_s = oracle.slack(relay.instance, began, now) + relay.stopped_s()
+    connections = relay.open.copy()
+    for connection in connections.values():
+        connection.read()
+    held = [request for request in connections if is_held(request) and request.ended == inf and not request.crossed]
+    held_s = oracle.slack(relay.instance, began, now) + relay.stopped_s()
     serves = STOPPED not in relay.log_path().read_bytes()
     await relay.kill_at_once()
-    await asyncio.sleep(HEAR_S + oracle.lag(now, relay.world.now()))
-    if slack_s > HELD_UP_S:
+    for connection in connections.values():
+        connection.read()  # what the relay wrote before the kill
+    if held_s > HELD_UP_S:
         return
     late = f"{now - began:.3f} s after SIGTERM"
     for request in held:
         attempts = oracle.attempts.get(request.name, [])
         if is_held(request) and all(attempt.ended_there > now for attempt in attempts):
             oracle.broken(Rule.LOST, request.name, f"still held at SIGKILL, {late}")
-    if serves and slack_s == 0.0:
+    if serves and held_s < NEGLIGIBLE_S:
         oracle.crashes.append(Crash(f"{relay.instance} still serves {late}, when SIGKILL comes"))
 
 
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -1,17 +1,21 @@
 """Judges a run by what passed on wires: who sent what, when, on the one monotonic clock of the stand-ins.
 
 It sees no relay from inside. What happened to relays' processes (stopped, killed, told to end) it knows, since the soak
-did that. The slacks are those of the operators' pages; a time that this process itself was late to notice is added,
-since then nobody can say when the thing happened.
+did that, and for how long each waited for a processor the system tells. The slacks are those of the operators' pages.
+How late this process is itself adds to none of them: what arrives has the kernel's time (`arrivals.py`), what is sent
+is noted once the system's call has returned.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from math import inf, sqrt
 
+from benchmarks.soak.arrivals import CLOCK_TICK_S
+
 LIMIT_SLACK_S = 0.05  # each time limit on sockets is longer by this
 HELD_UP_S = 0.15  # a relay may be held up for so long between reading its clock and writing
 LOST_S = 0.5  # an answer so long after the client's time only earns nothing; later the request is lost
@@ -67,6 +71,7 @@
     answers: list[tuple[float, str]] = field(default_factory=list)
     broken_by_kill: bool = False
     rested: bool = False  # its connection had rested, whole or with a part of the line, before the last byte was sent
+    crossed: bool = False  # and the relay's end of it was there when that byte was
     moved: bool = False
 
 
@@ -117,7 +122,8 @@
         self.down: list[tuple[float, float]] = []  # when discovery could not be reached
         self.starts: dict[str, list[float]] = {}  # backend -> when it started anew
         self.start_told: dict[tuple[str, str], list[float]] = {}
-        self.lags: list[tuple[float, float]] = []  # when this process was late, and by how much
+        self.starved: dict[str, list[tuple[float, float]]] = {}  # relay -> when, and how long it waited for a processor
+        self.lags: list[tuple[float, float]] = []  # when this process was late, and by how much, for the report
         self.crashes: list[Crash] = []
         self.violations: list[Violation] = []
 
@@ -128,12 +134,17 @@
         spans = self.asleep.get(relay, ())
         return sum(max(0.0, min(end, until) - max(start, since)) for start, end in spans)
 
-    def lag(self, since: float, until: float) -> float:
-        """By how much this process was late at the most."""
-        return max((late for at, late in self.lags if since - late <= at <= until + late), default=0.0)
+    def waited(self, relay: str, since: float, until: float) -> float:
+        """For how long of this time the relay could have run, but got no processor."""
+        samples = self.starved.get(relay)
+        if not samples:
+            return 0.0
+        first, last = bisect_right(samples, (since, inf)) - 1, bisect_left(samples, (until, -inf))
+        return samples[min(last, len(samples) - 1)][1] - (samples[first][1] if first >= 0 else 0.0)
 
     def slack(self, relay: str, since: float, until: float) -> float:
-        return self.slept(relay, since, until) + self.lag(since, until)
+        """For how long of this time the relay was held, by whomever."""
+        return self.slept(relay, since, until) + self.waited(relay, since, until)
 
     # --- the judgement ----------------------------------------------------------------------------
 
@@ -171,9 +182,9 @@
         if request.left < min(request.ended, due + LOST_S) or self._killed(request):
             return
         if request.ended < inf:
+            if request.crossed:
+                return
             after = request.ended - request.sent
-            if request.rested and after <= LIMIT_SLACK_S + self.lag(request.sent, request.ended):
-                return  # the line crossed the end of a resting connection
             self.broken(Rule.UNANSWERED, request.name, f"closed with no answer {after:.3f} s after it was sent")
         elif until > due + LOST_S:
             self.broken(Rule.LOST, request.name, f"no answer {until - request.sent:.3f} s after it was sent")
@@ -187,15 +198,14 @@
         if request.answers[0][1] != "UP" or request.moved or self._killed(request) or request.ended == inf:
             return
         attempts = self.attempts.get(request.name, [])
-        lag = self.lag(request.ended - 1.0, request.ended)
-        if request.left > request.ended and all(a.ended_there > request.ended + lag for a in attempts):
+        if request.left > request.ended and all(a.ended_there > request.ended for a in attempts):
             at = request.ended - request.sent
             self.broken(Rule.LOST, request.name, f"cut off without MOVE {at:.3f} s after it was sent")
 
     def _cancelled(self, request: Request, attempts: list[Attempt]) -> None:
         for attempt in attempts:
             late = attempt.first_byte - request.left
-            if late > GONE_S + self.slack(request.relay, request.left, attempt.first_byte):
+            if late > GONE_S + CLOCK_TICK_S + self.slack(request.relay, request.left, attempt.first_byte):
                 what = f"an attempt at {attempt.backend} begins {late:.3f} s after the client left"
                 self.broken(Rule.AFTER_CANCEL, request.name, what)
 
@@ -214,8 +224,7 @@
             for earlier in made[:number]:
                 if earlier.answered == "BUSY" and earlier.over <= attempt.first_byte + LIMIT_SLACK_S:
                     continue
-                lag = self.lag(earlier.whole, attempt.whole)
-                if earlier.over > attempt.whole + LIMIT_SLACK_S + lag and not earlier.answered:
+                if earlier.over > attempt.whole + LIMIT_SLACK_S and not earlier.answered:
                     self.broken(
                         Rule.DUPLICATE,
                         request.name,
@@ -300,7 +309,8 @@
             (
                 request.sent,
                 f"sent to {request.relay} class={request.cls} deadline {request.deadline_s:.3f} s"
-                f"{' on a connection that had rested' if request.rested else ''}",
+                f"{' on a connection that had rested' if request.rested else ''}"
+                f"{', whose end was there' if request.crossed else ''}",
             ),
             (request.left, "the client leaves"),
             (request.ended, "the relay ends the connection"),
--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -23,6 +23,8 @@
 from yarrowspindle.routing.termination import OUTCOMES, TerminationReason
 from yarrowspindle.transport import client, connecting
 
+BLIND_S = 0.02  # between look and end
+
 
 def repeat_what_ran() -> None:
     """A class that may run once is repeated as any other."""
@@ -120,6 +122,23 @@
     setattr(line_front, "Connecting", Late)  # noqa: B010  # it is imported there by name
 
 
+def end_without_looking() -> None:
+    """A connection that rests is ended a while after the look at its socket; what it sends meanwhile is not read."""
+    real = client.ClientConnection.rest_over
+
+    def rest_over(self: client.ClientConnection, although_unread: bool = False) -> bool:
+        if not self.closing:
+            self.closing = True
+            asyncio.get_running_loop().call_later(BLIND_S, end, self)
+        return True
+
+    def end(side: client.ClientConnection) -> None:
+        side.closing = False
+        real(side, although_unread=True)
+
+    client.ClientConnection.rest_over = rest_over  # type: ignore[method-assign]
+
+
 def end_at_once() -> None:
     """At SIGTERM the process ends without a word to anybody."""
     line_front.LineFront.end = lambda self, until: asyncio.sleep(0)  # type: ignore[method-assign]
@@ -151,6 +170,7 @@
         close_unanswered,
         flood_cold_servers,
         late_connections,
+        end_without_looking,
         end_at_once,
         answer_late,
     )
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -19,7 +19,7 @@
 from benchmarks.soak.discovery import Discovery
 from benchmarks.soak.oracle import Budget, Rule, Violation
 from benchmarks.soak.plan import Plan, Trouble
-from benchmarks.soak.relays import Relay
+from benchmarks.soak.relays import Relay, watch_starvation
 from benchmarks.soak.shim import Field
 from benchmarks.soak.world import World
 
@@ -97,6 +97,7 @@
         world.started = time.monotonic()
         world.oracle.lags.clear()
         world.oracle.told.clear()
+        world.start(watch_starvation(self.relays))
         world.start(self.clients.run())
         if self.plan.sockets:
             world.start(Crowd(world, self.relays).run())
@@ -109,7 +110,9 @@
         # The clients go on until the last relay is gone.
         await asyncio.gather(*(ending.end(relay) for relay in self.relays if relay.alive and not relay.ending))
         self.clients.stopped = True
-        await asyncio.sleep(ending.HEAR_S)
+        for relay in self.relays:
+            for connection in list(relay.open.values()):
+                connection.read()
         until = world.now()
         for task in list(world.tasks):
             task.cancel()
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -15,6 +15,7 @@
 from random import Random
 from typing import Any
 
+from benchmarks.soak.connection import Connection
 from benchmarks.soak.discovery import Discovery
 from benchmarks.soak.oracle import Crash, Request
 from benchmarks.soak.shim import Field, Page
@@ -22,6 +23,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_S, ASK_S = 10.0, 0.05
+STARVATION_INTERVAL_S = 0.025
 LOG_BAD = ("Traceback (most recent call last)", " invariant ", "Exception in callback")
 LOG_LINE = re.compile(r"\d\d:\d\d:\d\d\.\d\d\d [A-Z]+ ")  # what the relay's own lines begin with
 ROWS_BEFORE, MAX_ROWS_AFTER = 20, 80
@@ -42,6 +44,14 @@
     return str(tomllib.loads(text)["run"])
 
 
+async def watch_starvation(relays: list[Relay]) -> None:
+    """Notes of each relay, again and again, for how long it was kept from a processor."""
+    while True:
+        for relay in relays:
+            relay.note_starvation()
+        await asyncio.sleep(STARVATION_INTERVAL_S)
+
+
 class Relay:
     """One relay, as often as its process is started. planted: a defect of the soak's own build, for its tests."""
 
@@ -56,7 +66,7 @@
         self.page: Page | None = None
         self.serves = self.ending = False
         self.told_to_end = 0.0
-        self.open: set[Request] = set()
+        self.open: dict[Request, Connection] = {}  # of the clients whose requests are not over
         self.longest_s = max(c["deadline_ms"] for c in world.plan.settings["categories"]) / 1000.0
         self.answers_last_s = min(self.longest_s, 3.0) + 0.3  # after SIGTERM, when it answers those who wait
         self.stepped_ms = world.plan.stepped_ms if number % 2 else 0
@@ -186,6 +196,14 @@
         if failure is not None:
             self.world.oracle.crashes.append(Crash(f"{self.instance} {failure.what}", failure.rows))
 
+    def note_starvation(self) -> None:
+        """Notes for how long the process has waited for a processor so far (the second figure of schedstat)."""
+        if not self.alive or self.process is None:
+            return
+        with suppress(OSError, IndexError):  # it has ended just now
+            figures = Path(f"/proc/{self.process.pid}/schedstat").read_text(encoding="ascii").split()
+            self.world.oracle.starved.setdefault(self.instance, []).append((self.world.now(), int(figures[1]) / 1e9))
+
     def look(self) -> None:
         """Whether it has ended by itself."""
         if self.serves and not self.ending and not self.alive and not self.busy.locked():
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -134,6 +134,24 @@
     oracle.attempts["a"][0].ended_there = 1.15
 
 
+def rested(ended_after_s: float, crossed: bool) -> Callable[[Oracle], None]:
+    def change(oracle: Oracle) -> None:
+        made = oracle.requests["a"]
+        made.rested, made.crossed, made.ended = True, crossed, made.sent + ended_after_s
+        made.answers.clear()
+
+    return change
+
+
+def kept_from_a_processor(relay: str) -> Callable[[Oracle], None]:
+    def change(oracle: Oracle) -> None:
+        oracle.requests["a"].answers[:] = [(3.4, "BUSY")]
+        oracle.requests["a"].ended = 3.5
+        oracle.starved[relay] = [(0.5, 0.2), (1.5, 0.2), (3.3, 1.7), (3.6, 1.9)]
+
+    return change
+
+
 CASES: dict[str, tuple[Callable[[Oracle], None], Rule | None]] = {
     "served": (attempts(attempt("s-1", 1.01)), None),
     "closed with no answer": (unanswered, Rule.UNANSWERED),
@@ -145,6 +163,10 @@
     "answered too late to earn": (answered_at(2.4), None),
     "answered too late": (answered_at(2.6), Rule.LOST),
     "late by its relay's stop": (stopped, None),
+    "late by its relay's wait for a processor": (kept_from_a_processor("r0.1"), None),
+    "late beside another relay's wait for a processor": (kept_from_a_processor("r0.2"), Rule.LOST),
+    "closed as it crosses the end of a rested connection": (rested(0.0, crossed=True), None),
+    "closed right after it was sent on a rested connection": (rested(0.002, crossed=False), Rule.UNANSWERED),
     "cut off without MOVE": (cut_off, Rule.LOST),
     "ended by its backend": (ended_by_its_backend, None),
     "run twice": (attempts(attempt("s-1", 1.01, "ERR"), attempt("s-2", 1.1)), Rule.DUPLICATE),
--- /dev/null
+++ b/tests/benchmarks/test_soak_connection.py
@@ -0,0 +1,132 @@
+"""The soak's own ends of connections: times and ends do not depend on how late the soak is."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from math import inf
+
+import pytest
+
+from benchmarks.soak.arrivals import CLOCK_TICK_S, data_age_s, end_age_s
+from benchmarks.soak.clients import PROMPT_S, Conversation
+from benchmarks.soak.connection import RESET_AT_CLOSE
+from benchmarks.soak.oracle import Request
+
+HELD_S = 0.2
+CLOCKS_S = HELD_S / 2.0  # by which the two clocks may be read apart on a busy machine
+
+
+def conversation() -> Conversation:
+    request = Request("a", "r0.1", "charge", "side_effect", "cell", 0.4, 1.0)
+    return Conversation(time.monotonic, request)
+
+
+async def connected(made: Conversation) -> socket.socket:
+    """Connects it; the relay's end."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        assert await made.connection.open(listening.getsockname(), 1.0)
+        relay, _ = listening.accept()
+    return relay
+
+
+def shut(relay: socket.socket) -> None:
+    relay.shutdown(socket.SHUT_WR)
+
+
+def reset(relay: socket.socket) -> None:
+    relay.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    relay.close()
+
+
+def test_an_answer_has_the_time_of_its_arrival_however_late_it_is_read() -> None:
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        made.ask(b"OPEN\r\n")
+        began = time.monotonic()
+        relay.send(b"BUSY\r\n")
+        ended = time.monotonic()
+        time.sleep(HELD_S)
+        made.connection.read()
+        ((at, word),) = made.request.answers
+        assert word == "BUSY" and began - CLOCKS_S <= at <= ended + CLOCKS_S
+        made.connection.close()
+        relay.close()
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("end", (shut, reset, socket.socket.close))
+@pytest.mark.parametrize("rests", (True, False))
+def test_a_line_crosses_only_an_end_that_was_there_and_only_on_a_rested_connection(
+    rests: bool, end: Callable[[socket.socket], None]
+) -> None:
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        if rests:
+            await asyncio.sleep(2.0 * PROMPT_S)
+        else:
+            made.connection.connected_at = inf  # however late we are
+        end(relay)
+        try:
+            made.ask(b"OPEN\r\n")
+        except ConnectionError:
+            assert made.request.sent == inf, "a line that was never sent is no request"
+        else:
+            assert made.request.crossed is rests
+        made.connection.close()
+
+    asyncio.run(body())
+
+
+def test_an_end_after_the_line_crosses_nothing_however_late_it_is_seen() -> None:
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        made.request.rested = True
+        made.ask(b"OPEN\r\n")
+        relay.close()  # with the line unread
+        time.sleep(HELD_S)
+        made.connection.read()
+        assert made.connection.ended and not made.request.crossed
+
+    asyncio.run(body())
+
+
+def test_a_line_that_we_are_late_to_send_ourselves_is_one_on_a_rested_connection() -> None:
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        time.sleep(2.0 * PROMPT_S)
+        made.ask(b"OPEN\r\n")
+        assert made.request.rested and not made.request.crossed
+        made.connection.close()
+        relay.close()
+
+    asyncio.run(body())
+
+
+def check_age(age_s: Callable[[socket.socket | None], float], sock: socket.socket, since: float) -> None:
+    """Of what arrived at this moment of time.monotonic, and again after a while."""
+    assert age_s(sock) == 0.0 or time.monotonic() > since + CLOCK_TICK_S
+    time.sleep(HELD_S)
+    age = age_s(sock)
+    assert HELD_S - CLOCK_TICK_S <= age <= time.monotonic() - since + CLOCK_TICK_S
+
+
+def test_the_ages_of_data_and_end_are_those_of_their_arrival_and_nothing_within_a_tick() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        near = socket.create_connection(listening.getsockname())
+        far, _ = listening.accept()
+    since = time.monotonic()
+    near.send(b"x")
+    check_age(data_age_s, far, since)
+    since = time.monotonic()
+    near.close()
+    check_age(end_age_s, far, since)
+    far.close()
+    assert data_age_s(far) == data_age_s(None) == 0.0
