Ask of each client where it stands as a backend joins, not how many are counted

Why the old check was wrong: it counted at the backends, in one moment, connections that stood, and asked for 24. The relay writes MOVE and ends the backend's side in the same turn; a client that has not read its MOVE counts as up and stands nowhere. It also counted the test's first request among the 24, so one client could be missing unseen.

Change: each client stands at one backend at most, and whoever stands nowhere has been told to move: its next line that is no echo is MOVE, within the test's usual wait. The counts of moves stay as they are.

--- a/tests/daemon/test_rebalancing_daemon.py
+++ b/tests/daemon/test_rebalancing_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 from tests.stand_ins import WAIT_S, Peer, World, relay
@@ -20,18 +21,21 @@
 CLIENTS = 24
 
 
-async def serve(world: World, name: str, held: dict[str, int]) -> None:
-    """An execute node: takes all and brings each line back, in two parts so that a MOVE could cut one."""
+async def serve(world: World, name: str, standing: dict[str, list[int]]) -> None:
+    """An execute node: takes all and brings each line back, in two parts so that a MOVE could cut one.
+
+    standing: by node, the keys of the clients that stand there.
+    """
 
     async def one(peer: Peer) -> None:
-        await peer.hear()
+        key = int((await peer.hear()).split(" ")[2], 16)
         peer.say("UP r1")
-        held[name] += 1
+        standing[name].append(key)
         while line := await peer.hear():
             peer.writer.write(line[:3].encode())
             await asyncio.sleep(0)
             peer.writer.write(f"{line[3:]}\r\n".encode())
-        held[name] -= 1
+        standing[name].remove(key)
 
     tasks = []
     while True:
@@ -60,24 +64,34 @@
             again = ",again=1"
 
     async def body(w: World) -> None:
-        held = {"s-1": 0, "s-2": 0}
+        standing: dict[str, list[int]] = {"s-1": [], "s-2": []}
         await w.watched()
         w.answer_watch(w.member("s-1"))
         ups = [asyncio.Event() for _ in range(CLIENTS)]
-        tasks = [asyncio.ensure_future(serve(w, name, held)) for name in held]
+        tasks = [asyncio.ensure_future(serve(w, name, standing)) for name in standing]
         # The list without the second node is taken up before the first submitter comes.
         probe = await w.request()
         tasks += [asyncio.ensure_future(client(w, key + 1, up)) for key, up in enumerate(ups)]
         await asyncio.wait_for(asyncio.gather(*(up.wait() for up in ups)), WAIT_S)
-        first = dict(held)
+        first = list(standing["s-2"])
         w.tell("s-2", "ready")
 
+        def places() -> Counter[int]:
+            """At how many nodes each client stands."""
+            return Counter(key for keys in standing.values() for key in keys if 1 <= key <= CLIENTS)
+
         async def level() -> None:
-            while held["s-2"] < CLIENTS // 3 or not all(up.is_set() for up in ups):
+            while len(standing["s-2"]) < CLIENTS // 3 or not all(up.is_set() for up in ups):
+                await asyncio.sleep(0.01)
+
+        async def moved(missing: set[int]) -> None:
+            while not missing <= set(moves) or max(places().values()) > 1:
                 await asyncio.sleep(0.01)
 
         await asyncio.wait_for(level(), 2 * WAIT_S)
-        assert first["s-2"] == 0 and held["s-1"] + held["s-2"] >= CLIENTS
+        # The relay writes MOVE and ends the node's side at once: who stands nowhere has its MOVE, read or not.
+        await asyncio.wait_for(moved(set(range(1, CLIENTS + 1)) - places().keys()), WAIT_S)
+        assert not first
         assert CLIENTS // 3 <= len(moves) <= CLIENTS // 2 + 4 and len(moves) == len(set(moves))
         probe.writer.close()
         # Taken out by SIGHUP, and a file that makes no sense changes nothing.
