Play relay_cost's rounds in alternating order, and print the spread of their ratios

Cause: the least of all rounds swings by 2 to 4 %, as much as it should show.

Change: every other round plays the checkouts in the opposite order; the median of the ratios within a round is printed with its quartiles.

--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -1,8 +1,9 @@
 """What a set-up and a relayed line cost a relay in processor time, for checkouts side by side.
 
 `python -m benchmarks.relay_cost [ROOT ...] [--rounds N] [--setups N] [--lines N] [--json]`: each round starts a relay
-of each checkout in turn and plays the same load. The figures are the least of all rounds (what is over it is other
-work on the machine), with ratios against the first root.
+of each checkout in turn, every other round in the opposite order, and plays the same load. The figures are the least of
+all rounds (what is over it is other work on the machine), with ratios against the first root; then the median of the
+ratios within each round, with their quartiles.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import tempfile
 import time
 from pathlib import Path
+from statistics import quantiles
 
 import uvloop
 
@@ -126,6 +128,12 @@
     return 1e6 * (between - began) / (each * SIDE_BY_SIDE), 1e6 * (ended - between) / said
 
 
+def spread(rows: list[tuple[float, float]], first: list[tuple[float, float]], figure: int) -> list[float]:
+    """Lower quartile, median and upper quartile of a figure's ratios, round by round."""
+    ratios = [row[figure] / base[figure] for row, base in zip(rows, first, strict=True)]
+    return [round(float(value), 4) for value in (quantiles(ratios, n=4) if len(ratios) > 1 else 3 * ratios)]
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.relay_cost", description=__doc__)
     parser.add_argument("roots", nargs="*", type=Path, default=[HERE])
@@ -135,18 +143,21 @@
     parser.add_argument("--json", action="store_true", help="the last line is one JSON object")
     given, started = parser.parse_args(), time.perf_counter()
     found: dict[Path, list[tuple[float, float]]] = {root: [] for root in given.roots}
-    for _ in range(given.rounds):
-        for root in given.roots:
+    for number in range(given.rounds):
+        for root in given.roots if number % 2 == 0 else reversed(given.roots):
             found[root].append(uvloop.run(play(root, given.setups, given.lines)))
     least = {root: [min(values) for values in zip(*rows, strict=True)] for root, rows in found.items()}
     first = least[given.roots[0]]
     rows = []
     for root, (setup_us, line_us) in least.items():
         setup_ratio, line_ratio = round(setup_us / first[0], 4), round(line_us / first[1], 4)
+        spreads = [spread(found[root], found[given.roots[0]], figure) for figure in range(2)]
         row = {"root": str(root), "setup_us": round(setup_us, 1), "line_us": round(line_us, 2)}
-        rows.append(row | {"setup_ratio": setup_ratio, "line_ratio": line_ratio})
+        rows.append(row | {"setup_ratio": setup_ratio, "line_ratio": line_ratio, "spreads": spreads})
         setup, line = f"{setup_us:.1f} us a set-up", f"{line_us:.2f} us a line there and back"
         print(f"{root}: {setup} ({setup_ratio:.3f}), {line} ({line_ratio:.3f})")
+        for name, (low, middle, high) in zip(("set-up", "line"), spreads, strict=True):
+            print(f"    {name}, ratio within a round: {middle:.3f} ({low:.3f} to {high:.3f})")
     if given.json:
         print(
             json.dumps(
