Name what transports report by the field's terms

Cause: the sinks' methods had names of the earlier house style (request_came, bad_line).

Change: a mechanical rename on the syntax tree in transport, fronts, runtime, their tests and the planted defects: request_received, client_disconnected, attempt_ended, log_warning. Tests change in the names alone.

--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -70,7 +70,7 @@
 
 def forget_a_request() -> None:
     """One request in fifty is taken and never looked at again."""
-    real = line_front.LineFront.request_came
+    real = line_front.LineFront.request_received
 
     def came(self: line_front.LineFront, side: Any, opened: Any) -> None:
         if opened.key % 50:
@@ -79,7 +79,7 @@
             self.door.on_request(side)
             side.request = self.hub.new_request(self)
 
-    line_front.LineFront.request_came = came  # type: ignore[method-assign]
+    line_front.LineFront.request_received = came  # type: ignore[method-assign]
 
 
 def close_unanswered() -> None:
--- a/tests/transport/test_call_out_order.py
+++ b/tests/transport/test_call_out_order.py
@@ -14,7 +14,7 @@
 
 FOLDERS = [Path(package.__path__[0]) for package in (yarrowspindle.transport, yarrowspindle.operator_api)]
 CALLBACKS = frozenset(("came", "refused", "failed", "made", "room", "_callback", "call"))
-HARMLESS = frozenset(("ready", "bad_line"))  # methods of sinks that only answer, or only log
+HARMLESS = frozenset(("ready", "log_warning"))  # methods of sinks that only answer, or only log
 
 # Method: why what it does after a call is sound.
 LOOKS_ANEW = {
--- a/tests/transport/test_call_outs.py
+++ b/tests/transport/test_call_outs.py
@@ -98,20 +98,20 @@
     def ready(self) -> bool:
         return True
 
-    def request_came(self, side: ClientConnection, opened: Open) -> None:
+    def request_received(self, side: ClientConnection, opened: Open) -> None:
         side.request = 7
-        self._told("request_came")
+        self._told("request_received")
 
-    def client_lost(self, side: ClientConnection) -> None:
+    def client_connection_lost(self, side: ClientConnection) -> None:
         self.lost.add(side)
-        self._told("client_lost")
+        self._told("client_connection_lost")
 
-    def backend_lost(self, side: BackendConnection) -> None:
+    def backend_connection_lost(self, side: BackendConnection) -> None:
         self.lost.add(side)
-        self._told("backend_lost")
+        self._told("backend_connection_lost")
 
-    def backend_up(self, side: BackendConnection) -> None:
-        self._told("backend_up")
+    def backend_accepted(self, side: BackendConnection) -> None:
+        self._told("backend_accepted")
         if not self.client.closing and not self.backend.told:
             self.client.join(self.backend, self.backend.first)
             self.backend.flow()
@@ -220,7 +220,7 @@
             assert len(calls) >= 5, calls
             for number in range(len(calls)):
                 pair = await play(script, number, strike)
-                assert pair.calls.count("backend_over") <= 1 and pair.calls.count("request_left") <= 1
+                assert pair.calls.count("attempt_ended") <= 1 and pair.calls.count("client_disconnected") <= 1
 
     loop(body())
 
@@ -256,7 +256,7 @@
 
 
 @LOOPS
-@pytest.mark.parametrize("name", ("list_told", "watch_heard", "watch_over"))
+@pytest.mark.parametrize("name", ("endpoints_received", "watch_active", "watch_ended"))
 @pytest.mark.parametrize("last", (b"", b"0\r\n\r\n", b"1\r\n{\r\n0\r\n\r\n", b"nonsense"), ids=repr)
 def test_a_watch_may_be_ended_by_any_call_that_it_makes(last: bytes, name: str, loop: Run) -> None:
     """Guards against telling lists of a watch that was given up in the call before."""
@@ -274,14 +274,14 @@
             service.close()
             await until(lambda: watch.over)
             await asyncio.sleep(STEP_S)
-        assert sink.calls.count("watch_over") == 1
-        assert set(sink.after_the_end) <= {"watch_over"}
+        assert sink.calls.count("watch_ended") == 1
+        assert set(sink.after_the_end) <= {"watch_ended"}
 
     loop(body())
 
 
 @LOOPS
-@pytest.mark.parametrize("name", ("probe_answered", "probe_over"))
+@pytest.mark.parametrize("name", ("health_check_answered", "health_check_ended"))
 @pytest.mark.parametrize(
     "answer", (b"PONG x=1\r\n", b"PONG x=1\r\nPONG x=1\r\n", b"\xff" * 5000), ids=("one", "two", "none")
 )
@@ -299,8 +299,8 @@
             await asyncio.sleep(STEP_S)
             backend.close()
             await until(lambda: side.over)
-        assert sink.calls.count("probe_over") == 1
-        assert set(sink.after_the_end) <= {"probe_over"}
+        assert sink.calls.count("health_check_ended") == 1
+        assert set(sink.after_the_end) <= {"health_check_ended"}
 
     loop(body())
 
--- a/tests/transport/test_line_connections.py
+++ b/tests/transport/test_line_connections.py
@@ -61,7 +61,7 @@
     def __getattr__(self, name: str) -> Callable[..., None]:
         return lambda *what: self.told.append((name, *what))
 
-    def request_came(self, side: ClientConnection, opened: object) -> None:
+    def request_received(self, side: ClientConnection, opened: object) -> None:
         side.request = 7
 
 
@@ -110,7 +110,7 @@
         client.join(backend, backend.first)
         backend.flow()
         assert near.sent == b"UP r\r\nLOAD 5\r\nx" and far.sent == b"OPEN\r\n"
-        assert ("backend_load", 7, 5.0) in sink.told
+        assert ("backend_load_reported", 7, 5.0) in sink.told
 
     run(body)
 
@@ -134,7 +134,7 @@
     def body() -> None:
         sink, client, _, backend, far = pair()
         client.data_received(b"x" * 100_000)
-        assert sink.told[-1] == ("request_out_of_turn", 7)
+        assert sink.told[-1] == ("unexpected_client_data", 7)
         backend.data_received(b"UP r\r\n")
         client.join(backend, backend.first)
         assert far.sent == b"OPEN\r\n"
@@ -147,7 +147,7 @@
         sink, client, _, backend, _ = joined()
         client.data_received(b"x\r\n" * 5000)
         backend.data_received(b"y\r\n" * 5000)
-        assert sink.told[-2:] == [("request_asked", 7, 5000), ("backend_answered", 7, 5000)]
+        assert sink.told[-2:] == [("client_data_forwarded", 7, 5000), ("backend_data_forwarded", 7, 5000)]
 
     run(body)
 
@@ -180,11 +180,11 @@
             backend.data_received(b"hello\r\n" + last)
             backend.eof_received()
             backend.connection_lost(None)
-            assert [t[2] for t in sink.told if t[0] == "backend_over"] == [ending]
+            assert [t[2] for t in sink.told if t[0] == "attempt_ended"] == [ending]
         sink, _, _, backend, _ = pair()
         backend.asked = False
         backend.connection_lost(None)
-        assert sink.told[-1] == ("backend_over", backend, TerminationReason.CONNECT_FAILED)
+        assert sink.told[-1] == ("attempt_ended", backend, TerminationReason.CONNECT_FAILED)
 
     run(body)
 
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -81,7 +81,7 @@
 
     def start(self) -> LineFront:
         self.listener = Listener(
-            self.config.listen, BACKLOG, self._client_connection, self.door.make_room, self.bad_line
+            self.config.listen, BACKLOG, self._client_connection, self.door.make_room, self.log_warning
         )
         self.hub.fronts.append(self)
         self.hub.connected_backends.append(self.connected)
@@ -142,10 +142,10 @@
             return last_data_age_ms(side.alive)
         return 0.0
 
-    def client_came(self, side: ClientConnection) -> None:
+    def client_connected(self, side: ClientConnection) -> None:
         self.door.on_accepted(side)
 
-    def request_came(self, side: ClientConnection, opened: Open) -> None:
+    def request_received(self, side: ClientConnection, opened: Open) -> None:
         try:
             arrived = self._request_of(side, opened)
         except LineError as error:
@@ -178,29 +178,29 @@
             opened.id,
         )
 
-    def request_out_of_turn(self, request: int) -> None:
+    def unexpected_client_data(self, request: int) -> None:
         self.hub.post(UnexpectedClientData(request))
 
-    def request_asked(self, request: int, lines: int) -> None:
+    def client_data_forwarded(self, request: int, lines: int) -> None:
         if lines:
             self.hub.post(ClientDataForwarded(request, lines))
 
-    def request_left(self, request: int) -> None:
+    def client_disconnected(self, request: int) -> None:
         self.hub.post(ClientDisconnected(request))
 
-    def client_lost(self, side: ClientConnection) -> None:
+    def client_connection_lost(self, side: ClientConnection) -> None:
         self.door.on_closed(side)
         if self.clients.get(side.request) is side:
             self._forget(side.request)
 
-    def client_refused(self, side: ClientConnection, why: str) -> None:
+    def first_line_rejected(self, side: ClientConnection, why: str) -> None:
         self.door.on_answered(side)
-        self.bad_line(why)
+        self.log_warning(why)
 
-    def client_ended(self, side: ClientConnection) -> None:
+    def idle_client_closed(self, side: ClientConnection) -> None:
         self.door.on_answered(side)
 
-    def bad_line(self, text: str) -> None:
+    def log_warning(self, text: str) -> None:
         self.log.warn(text)
 
     # --- reports of execute nodes ---------------------------------------------------------------
@@ -209,7 +209,7 @@
         """Execute nodes to which a connection stands or is under way, those that are only being closed included."""
         return {side.backend for side in self.door.connections if isinstance(side, BackendConnection)}
 
-    def backend_reached(self, side: BackendConnection) -> None:
+    def backend_connected(self, side: BackendConnection) -> None:
         self.reaching.pop(side.request, None)
         self.network.works()
         if monotonic() > self.runtime.behind_at:
@@ -222,23 +222,23 @@
         if delay_ms > 0.0:
             self.hub.post(BackendDataDelayed(side.request, delay_ms))
 
-    def backend_up(self, side: BackendConnection) -> None:
+    def backend_accepted(self, side: BackendConnection) -> None:
         if monotonic() > self.runtime.behind_at:
             self._report_delay(side)
         self.hub.post(BackendAccepted(side.request, side.attempt))
 
-    def backend_answered(self, request: int, lines: int) -> None:
+    def backend_data_forwarded(self, request: int, lines: int) -> None:
         if monotonic() > self.runtime.behind_at and (side := self.backends.get(request)) is not None:
             self._report_delay(side)
         self.hub.post(BackendDataForwarded(request, lines))
 
-    def backend_load(self, request: int, load: float) -> None:
+    def backend_load_reported(self, request: int, load: float) -> None:
         self.hub.post(UnclassifiedReport(request, load))
 
-    def backend_lost(self, side: BackendConnection) -> None:
+    def backend_connection_lost(self, side: BackendConnection) -> None:
         self.door.on_closed(side)
 
-    def backend_over(self, side: BackendConnection, ending: TerminationReason) -> None:
+    def attempt_ended(self, side: BackendConnection, ending: TerminationReason) -> None:
         if self.backends.get(side.request) is side:
             del self.backends[side.request]
         self.hub.post(AttemptEnded(side.request, side.attempt, ending))
@@ -258,7 +258,7 @@
         self.reaching.pop(side.request, None)
         self.door.on_closed(side)
         if failure.unexpected:
-            self.bad_line(f"a connection to execute node {side.backend} failed: {failure.error!r}")
+            self.log_warning(f"a connection to execute node {side.backend} failed: {failure.error!r}")
         side.unreached(
             TerminationReason.NOT_SENT
             if self.network.at_fault(side.backend, failure)
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -86,7 +86,7 @@
 
     # --- reports of the transport ---------------------------------------------------------------
 
-    def watch_heard(self, watch: WatchSide) -> None:
+    def watch_active(self, watch: WatchSide) -> None:
         """Whatever it was: what it told so far stands."""
         if watch is self.watch or (watch is self.former and watch.address == self.watch_at):
             self.heard_at, self.heard_from = asyncio.get_running_loop().time(), watch.address
@@ -97,7 +97,7 @@
             return None
         return (asyncio.get_running_loop().time() - self.heard_at) * 1000.0
 
-    def list_told(self, watch: WatchSide, told: EndpointsUpdated) -> None:
+    def endpoints_received(self, watch: WatchSide, told: EndpointsUpdated) -> None:
         """Word that is older than what is known would undo drains. A whole list like that is asked for once more, and
         believed then: the service may count anew."""
         if watch in self.slow:
@@ -120,7 +120,7 @@
             told.since_last_update_ms = self._quiet_ms(watch)
             self.told(told)
 
-    def watch_over(self, watch: WatchSide, why: str) -> None:
+    def watch_ended(self, watch: WatchSide, why: str) -> None:
         self.connecting.pop(watch, None)
         if watch in self.slow:
             self.slow.remove(watch)
--- a/yarrowspindle/runtime/health_checker.py
+++ b/yarrowspindle/runtime/health_checker.py
@@ -127,7 +127,7 @@
 
     # --- reports of the transport ---------------------------------------------------------------
 
-    def probe_answered(self, side: HealthCheckConnection, line: bytes) -> None:
+    def health_check_answered(self, side: HealthCheckConnection, line: bytes) -> None:
         asked = self.backends.get(side.backend)
         if asked is None or asked.side is not side:
             return
@@ -150,7 +150,7 @@
             del self.backends[side.backend]
             self._close(asked)
 
-    def probe_over(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None:
+    def health_check_ended(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None:
         asked = self.backends.get(side.backend)
         if asked is None or asked.side is not side:
             return
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -22,15 +22,15 @@
 
 
 class BackendSink(Protocol):
-    """What a backend's connection reports to. Any call but `bad_line` may end the connection."""
+    """What a backend's connection reports to. Any call but `log_warning` may end the connection."""
 
-    def backend_reached(self, side: BackendConnection) -> None: ...
-    def backend_up(self, side: BackendConnection) -> None: ...
-    def backend_answered(self, request: int, lines: int) -> None: ...
-    def backend_load(self, request: int, load: float) -> None: ...
-    def backend_lost(self, side: BackendConnection) -> None: ...
-    def backend_over(self, side: BackendConnection, ending: TerminationReason) -> None: ...
-    def bad_line(self, text: str) -> None: ...
+    def backend_connected(self, side: BackendConnection) -> None: ...
+    def backend_accepted(self, side: BackendConnection) -> None: ...
+    def backend_data_forwarded(self, request: int, lines: int) -> None: ...
+    def backend_load_reported(self, request: int, load: float) -> None: ...
+    def backend_connection_lost(self, side: BackendConnection) -> None: ...
+    def attempt_ended(self, side: BackendConnection, ending: TerminationReason) -> None: ...
+    def log_warning(self, text: str) -> None: ...
 
 
 class BackendConnection(LineConnection):
@@ -50,7 +50,7 @@
         if self.told:  # given up while it came up
             self.abort()
         else:
-            self.sink.backend_reached(self)
+            self.sink.backend_connected(self)
 
     def ask(self, line: bytes) -> None:
         self.asked = True
@@ -66,7 +66,7 @@
         try:
             whole = self.lines.feed(data)
         except LineError as error:
-            self.sink.bad_line(f"an execute node sent {error}")
+            self.sink.log_warning(f"an execute node sent {error}")
             self._over(TerminationReason.PROTOCOL_ERROR)
             return
         if not whole:
@@ -77,10 +77,10 @@
             self.first = whole[0] + lines.END
             self.early = b"".join(line + lines.END for line in whole[1:]) + self.lines.rest
             self.lines.rest = b""
-            self.sink.backend_up(self)
+            self.sink.backend_accepted(self)
         else:
             if word not in ANSWERS:
-                self.sink.bad_line(f"an execute node answered {whole[0][:60]!r}")
+                self.sink.log_warning(f"an execute node answered {whole[0][:60]!r}")
             self._over(ANSWERS.get(word, TerminationReason.PROTOCOL_ERROR))
 
     def flow(self) -> None:
@@ -100,7 +100,7 @@
         try:
             whole = self.lines.feed(data)
         except LineError as error:
-            self.sink.bad_line(f"an execute node sent {error}")
+            self.sink.log_warning(f"an execute node sent {error}")
             self._over(TerminationReason.CONNECTION_RESET)
             return
         self._report(whole)
@@ -120,9 +120,9 @@
                 answers += self.last is None
         for load in loads:
             if not self.closing:
-                self.sink.backend_load(self.request, load)
+                self.sink.backend_load_reported(self.request, load)
         if answers and not self.closing:
-            self.sink.backend_answered(self.request, answers)
+            self.sink.backend_data_forwarded(self.request, answers)
 
     def move(self, client: LineConnection) -> None:
         """Send the submitter away, at once if its stream stands between two lines, else behind the line."""
@@ -160,7 +160,7 @@
         self.closing = True
         if not self.told:
             self.told = True
-            self.sink.backend_over(self, ending)
+            self.sink.attempt_ended(self, ending)
 
     def drop(self) -> None:
         """The attempt is given up: end the connection, and say nothing more of it."""
@@ -177,7 +177,7 @@
         self.transport = None
         if self.moving is not None:
             self._moved()
-        self.sink.backend_lost(self)
+        self.sink.backend_connection_lost(self)
         self._end(sent)
 
     def _end(self, sent: bool = True) -> None:
@@ -190,4 +190,4 @@
         if not self.told:
             self.told = True
             self.finish()
-            self.sink.backend_over(self, ending)
+            self.sink.attempt_ended(self, ending)
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -17,14 +17,14 @@
     """What a client's connection reports to. Any call but `ready` may end the connection."""
 
     def ready(self) -> bool: ...
-    def client_came(self, side: ClientConnection) -> None: ...
-    def request_came(self, side: ClientConnection, opened: Open) -> None: ...
-    def request_out_of_turn(self, request: int) -> None: ...
-    def request_asked(self, request: int, lines: int) -> None: ...
-    def request_left(self, request: int) -> None: ...
-    def client_lost(self, side: ClientConnection) -> None: ...
-    def client_refused(self, side: ClientConnection, why: str) -> None: ...
-    def client_ended(self, side: ClientConnection) -> None: ...
+    def client_connected(self, side: ClientConnection) -> None: ...
+    def request_received(self, side: ClientConnection, opened: Open) -> None: ...
+    def unexpected_client_data(self, request: int) -> None: ...
+    def client_data_forwarded(self, request: int, lines: int) -> None: ...
+    def client_disconnected(self, request: int) -> None: ...
+    def client_connection_lost(self, side: ClientConnection) -> None: ...
+    def first_line_rejected(self, side: ClientConnection, why: str) -> None: ...
+    def idle_client_closed(self, side: ClientConnection) -> None: ...
 
 
 class ClientConnection(LineConnection):
@@ -42,16 +42,16 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.wait = SilenceTimer(FIRST_LINE_S, self._late)
-        self.sink.client_came(self)
+        self.sink.client_connected(self)
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
             self.thrown += len(data)
         elif self.other is not None:
             self.other.write(data)
-            self.sink.request_asked(self.request, data.count(b"\n"))
+            self.sink.client_data_forwarded(self.request, data.count(b"\n"))
         elif self.request:  # it has to wait for its answer; what it sends is neither kept nor passed on
-            self.sink.request_out_of_turn(self.request)
+            self.sink.unexpected_client_data(self.request)
         else:
             self._open(data)
 
@@ -65,13 +65,13 @@
             self.write(answers)
         if opened is not None:
             self._heard()
-            self.sink.request_came(self, opened)
+            self.sink.request_received(self, opened)
 
     def refuse(self, why: str) -> None:
         """Ends a connection whose first line makes no sense."""
         self._heard()
         self.finish(lines.FAILED)
-        self.sink.client_refused(self, why)
+        self.sink.first_line_rejected(self, why)
 
     def _late(self) -> None:
         if self.opening.rest:
@@ -88,7 +88,7 @@
             return False
         self._heard()
         self.finish()
-        self.sink.client_ended(self)
+        self.sink.idle_client_closed(self)
         return True
 
     def _heard(self) -> None:
@@ -113,9 +113,9 @@
         self._heard()
         self.transport = None
         self._leave()
-        self.sink.client_lost(self)
+        self.sink.client_connection_lost(self)
 
     def _leave(self) -> None:
         if self.request and not self.gone and not self.closing:
             self.gone = True
-            self.sink.request_left(self.request)
+            self.sink.client_disconnected(self.request)
--- a/yarrowspindle/transport/endpoint_list.py
+++ b/yarrowspindle/transport/endpoint_list.py
@@ -18,9 +18,9 @@
 class WatchSink(Protocol):
     """What a watch reports to. Any call may end the watch."""
 
-    def list_told(self, watch: WatchSide, told: EndpointsUpdated) -> None: ...
-    def watch_heard(self, watch: WatchSide) -> None: ...
-    def watch_over(self, watch: WatchSide, why: str) -> None: ...
+    def endpoints_received(self, watch: WatchSide, told: EndpointsUpdated) -> None: ...
+    def watch_active(self, watch: WatchSide) -> None: ...
+    def watch_ended(self, watch: WatchSide, why: str) -> None: ...
 
 
 class WatchSide(asyncio.Protocol):
@@ -59,9 +59,9 @@
         for update in updates:
             if not self.over:
                 self.told = True
-                self.sink.list_told(self, update)
+                self.sink.endpoints_received(self, update)
         if self.told and not self.over:
-            self.sink.watch_heard(self)
+            self.sink.watch_active(self)
         if self.answer.ended:
             self.end("the watch ended")
         elif self.told and not self.over:  # an empty line is no answer to the call
@@ -78,4 +78,4 @@
             self.quiet.cancel()
         if self.transport is not None:
             self.transport.abort()
-        self.sink.watch_over(self, why)
+        self.sink.watch_ended(self, why)
--- a/yarrowspindle/transport/probe.py
+++ b/yarrowspindle/transport/probe.py
@@ -12,8 +12,8 @@
 class ProbeSink(Protocol):
     """What a connection for health checks reports to. Any call may end the connection."""
 
-    def probe_answered(self, side: HealthCheckConnection, line: bytes) -> None: ...
-    def probe_over(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None: ...
+    def health_check_answered(self, side: HealthCheckConnection, line: bytes) -> None: ...
+    def health_check_ended(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None: ...
 
 
 class HealthCheckConnection(asyncio.Protocol):
@@ -52,7 +52,7 @@
                 self.end(TerminationReason.PROTOCOL_ERROR, f"{line[:60]!r} that nobody asked for")
             if not self.over:
                 self.asked = False
-                self.sink.probe_answered(self, line)
+                self.sink.health_check_answered(self, line)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.end(TerminationReason.CONNECTION_RESET, "the connection ended")
@@ -62,4 +62,4 @@
             self.over = True
             if self.transport is not None:
                 self.transport.abort()
-            self.sink.probe_over(self, ending, why)
+            self.sink.health_check_ended(self, ending, why)
