--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -65,7 +65,7 @@
 
 def go_on_after_leaving() -> None:
     """That a client has left while its request waits is not noticed."""
-    client.ClientConnection._leave = lambda self: None  # type: ignore[method-assign]
+    client.ClientConnection._report_disconnect = lambda self: None  # type: ignore[method-assign]
 
 
 def forget_a_request() -> None:
@@ -76,8 +76,8 @@
         if opened.key % 50:
             real(self, side, opened)
         else:
-            self.door.on_request(side)
-            side.request = self.hub.new_request(self)
+            self.limiter.on_request(side)
+            side.request = self.service.new_request(self)
 
     line_front.LineFront.request_received = came  # type: ignore[method-assign]
 
@@ -124,9 +124,9 @@
 
 def end_without_looking() -> None:
     """A connection that rests is ended a while after the look at its socket; what it sends meanwhile is not read."""
-    real = client.ClientConnection.rest_over
+    real = client.ClientConnection.end_if_silent
 
-    def rest_over(self: client.ClientConnection, although_unread: bool = False) -> bool:
+    def end_if_silent(self: client.ClientConnection, although_unread: bool = False) -> bool:
         if not self.closing:
             self.closing = True
             asyncio.get_running_loop().call_later(BLIND_S, end, self)
@@ -136,7 +136,7 @@
         side.closing = False
         real(side, although_unread=True)
 
-    client.ClientConnection.rest_over = rest_over  # type: ignore[method-assign]
+    client.ClientConnection.end_if_silent = end_if_silent  # type: ignore[method-assign]
 
 
 def end_at_once() -> None:
--- a/tests/forms/published.py
+++ b/tests/forms/published.py
@@ -61,7 +61,7 @@
     async def ended() -> list[str]:
         prober = HealthChecker(SETTINGS.load_report_fields, 1.0, lambda event: None, lambda text: None)
         for ending in TerminationReason:
-            prober._tell("s-1", ending, 0.0)
+            prober._complete("s-1", ending, 0.0)
         return sorted(prober.counts)
 
     return asyncio.run(ended())
--- a/tests/fronts/test_connection_limiter.py
+++ b/tests/fronts/test_connection_limiter.py
@@ -48,9 +48,7 @@
             if (other := backends.pop(side, None)) is not None:
                 door.on_closed(cast(Any, other))
             (door.on_answered if step == "answer" else door.on_closed)(side)
-        assert (
-            len(door.connections) <= 40 and len(door.without_request) + len(door.answered) <= door.max_without_request
-        )
+        assert len(door.connections) <= 40 and len(door.without_request) + len(door.answered) <= door.max_idle
         assert not any(side.aborted for side in requests), "a job is never ended for want of room"
         assert all(now[0] >= born[side] + MIN_AGE_S for side in born if side.aborted)
 
@@ -61,7 +59,7 @@
     while door.make_room():
         side = cast(Any, Ended())
         door.on_accepted(side)
-        if len(door.without_request) == door.max_without_request or len(door.connections) < 30:
+        if len(door.without_request) == door.max_idle or len(door.connections) < 30:
             door.on_request(side)
             door.on_backend_connecting(cast(Any, Ended()))
     for side in list(door.without_request):
--- a/tests/protocol/test_protocol.py
+++ b/tests/protocol/test_protocol.py
@@ -14,7 +14,16 @@
 from yarrowspindle.decisions.events import EndpointState, ListKind
 from yarrowspindle.protocol import collectd, graphite, lines
 from yarrowspindle.protocol.endpoint_list import ListError, Names, WatchAnswer
-from yarrowspindle.protocol.lines import LineError, Lines, Opening, Word, load_of, parse_open, requeue_notice, word_of
+from yarrowspindle.protocol.lines import (
+    LineError,
+    LineKind,
+    Lines,
+    Opening,
+    kind_of,
+    load_of,
+    parse_open,
+    rejection_line,
+)
 from yarrowspindle.routing.events import EndpointsUpdated
 
 LINE = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59"
@@ -94,18 +103,18 @@
 
 
 def test_words_loads_and_notices() -> None:
-    assert [word_of(w) for w in (b"UP r", b"BYE", b"MOVE", b"ERR", b"BUSY 3", b"LOAD 2", b"UPS", b"")] == [
-        Word.UP,
-        Word.BYE,
-        Word.MOVE,
-        Word.ERR,
-        Word.BUSY,
-        Word.LOAD,
-        Word.OTHER,
-        Word.OTHER,
+    assert [kind_of(w) for w in (b"UP r", b"BYE", b"MOVE", b"ERR", b"BUSY 3", b"LOAD 2", b"UPS", b"")] == [
+        LineKind.UP,
+        LineKind.BYE,
+        LineKind.MOVE,
+        LineKind.ERR,
+        LineKind.BUSY,
+        LineKind.LOAD,
+        LineKind.OTHER,
+        LineKind.OTHER,
     ]
     assert [load_of(b) for b in (b"LOAD 2.5", b"LOAD", b"LOAD x", b"LOAD -1", b"LOAD nan")] == [2.5] + 4 * [None]
-    assert requeue_notice(0.0) == b"BUSY\r\n" and requeue_notice(1499.6) == b"BUSY 1500\r\n"
+    assert rejection_line(0.0) == b"BUSY\r\n" and rejection_line(1499.6) == b"BUSY 1500\r\n"
     with pytest.raises(LineError):
         Lines().feed(b"x" * (lines.LONGEST + 1))
 
--- a/tests/transport/test_call_out_order.py
+++ b/tests/transport/test_call_out_order.py
@@ -13,14 +13,14 @@
 import yarrowspindle.transport
 
 FOLDERS = [Path(package.__path__[0]) for package in (yarrowspindle.transport, yarrowspindle.operator_api)]
-CALLBACKS = frozenset(("came", "refused", "failed", "made", "room", "_callback", "call"))
+CALLBACKS = frozenset(("on_datagram", "on_refused", "failed", "protocol_factory", "make_room", "_callback", "call"))
 HARMLESS = frozenset(("ready", "log_warning"))  # methods of sinks that only answer, or only log
 
 # Method: why what it does after a call is sound.
 LOOKS_ANEW = {
     "BackendConnection._report": "looks whether it is closing before each report",
-    "BackendConnection.connection_lost": "`_over` looks whether its end was reported",
-    "ClientConnection._late": "sets the timer only where nothing was reported",
+    "BackendConnection.connection_lost": "`_end` looks whether its end was reported",
+    "ClientConnection._on_first_line_timeout": "sets the timer only where nothing was reported",
     "ClientConnection.connection_lost": "its transport is gone, and what it had left is the sink's",
     "HealthCheckConnection.data_received": "looks whether it is over before each report",
     "WatchSide.data_received": "looks whether it is over before each report and each timer",
--- a/tests/transport/test_call_outs.py
+++ b/tests/transport/test_call_outs.py
@@ -112,7 +112,7 @@
 
     def backend_accepted(self, side: BackendConnection) -> None:
         self._told("backend_accepted")
-        if not self.client.closing and not self.backend.told:
+        if not self.client.closing and not self.backend.end_reported:
             self.client.join(self.backend, self.backend.first)
             self.backend.flow()
 
@@ -326,11 +326,10 @@
                         checker.backends[name].side.asked = False  # its answer has come
                 checker.probe(CheckHealth("s-2", idle[0].address, 500.0))
 
-        checker = HealthChecker((), 10.0, told, lambda text: None, most=1)
-        checker.most = 2
+        checker = HealthChecker((), 10.0, told, lambda text: None, max_connections=2)
         for number, backend in enumerate(idle):
             checker.probe(CheckHealth(f"s-{number}", backend.address, 500.0))
-        checker.most = 1
+        checker.max_connections = 1
         checker.leave({"s-0", "s-1"})
         assert not checker.backends.keys() & {"s-0", "s-1"}
         checker.close()
--- a/tests/transport/test_line_connections.py
+++ b/tests/transport/test_line_connections.py
@@ -163,7 +163,7 @@
         client.data_received(b"x" * 5000)
         client._linger(0, until)
         assert not wire.closed, "it still sends: a reset could take its answer"
-        client._linger(client.thrown, until)
+        client._linger(client.discarded_bytes, until)
         assert wire.closed
 
     asyncio.run(inside())
@@ -182,7 +182,7 @@
             backend.connection_lost(None)
             assert [t[2] for t in sink.told if t[0] == "attempt_ended"] == [ending]
         sink, _, _, backend, _ = pair()
-        backend.asked = False
+        backend.is_asked = False
         backend.connection_lost(None)
         assert sink.told[-1] == ("attempt_ended", backend, TerminationReason.CONNECT_FAILED)
 
--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from tests.ports import free_port
-from yarrowspindle.transport.listener import AGAIN_S, BATCH, Listener
+from yarrowspindle.transport.listener import BATCH, PAUSE_S, Listener
 
 # Errors that belong to the connection at the head of the queue, and shortages of the system.
 OF_ONE_CONNECTION = (
@@ -110,10 +110,10 @@
         made, failing = listener(port, lambda: True, error)
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         await asyncio.sleep(seconds)
-        assert failing.calls <= BATCH * (seconds / AGAIN_S + 2)
+        assert failing.calls <= BATCH * (seconds / PAUSE_S + 2)
         failing.fails = lambda: False
         before = Taken.count
-        await asyncio.sleep(5.0 * AGAIN_S)
+        await asyncio.sleep(5.0 * PAUSE_S)
         assert Taken.count == before + 1, "it is taken in once accept works again"
         writer.close()
         await made.close(made.loop.time())
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -134,7 +134,7 @@
         if self.operator.quic is not None:
             descriptors -= self.operator.quic.max_connections
         if self.config.settings.may_probe and self.config.settings.load_report_fields:
-            descriptors -= self.service.health_checker.most
+            descriptors -= self.service.health_checker.max_connections
         if self.config.operator is not None:
             from yarrowspindle.operator_api import MAX_CALLS
 
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -169,7 +169,7 @@
         classes = self.config.settings.classes
         longest_ms = max(classes[number].deadline_ms for number in self.config.current_classes.values())
         within_ms = min(longest_ms, MAX_DEADLINE_MS) + KILL_GRACE_MS - CLOSE_RESERVE_MS
-        within_ms -= min(self.runtime.held_up_ms(), MAX_HELD_UP_MS)
+        within_ms -= min(self.runtime.recent_delay_ms(), MAX_HELD_UP_MS)
         self.post(ShutdownRequested(within_ms))
         return within_ms
 
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -49,89 +49,106 @@
 
 BACKLOG = 1024
 TURN_S = 0.001
-HEAR_INTERVAL_S = 0.02
-HEARD_FRACTION = 2.0 / 3.0  # of the time for the end, until a MOVE waits no longer for the rest of a line
+DRAIN_POLL_S = 0.02
+DRAIN_FRACTION = 2.0 / 3.0  # of the time for the end, until a MOVE waits no longer for the rest of a line
 MAX_FIRST_LINE_TURNS = 64  # for a first line that comes in pieces while the relay ends
 LAST_TURNS = 4  # of the loop, to write the last lines and to read what crosses them, however late it is
 
 
 class LineFront:
-    def __init__(self, hub: RelayService, descriptors: int) -> None:
-        self.hub, self.config, self.runtime = hub, hub.config, hub.runtime
+    """The clients' address, and all connections that come of it.
+
+    Args:
+        service: the relay.
+        descriptors: for all connections.
+
+    Attributes:
+        limiter: which connections are accepted.
+        clients: the clients whose requests are not over, by request.
+        opened: the first lines of requests that may still be forwarded.
+        backends: of each request's attempt in flight, or its established connection.
+        reaching: attempts to connect to backends, by request.
+    """
+
+    def __init__(self, service: RelayService, descriptors: int) -> None:
+        self.service, self.config, self.runtime = service, service.config, service.runtime
         self.loop = asyncio.get_running_loop()
-        self.door = ConnectionLimiter(descriptors, self.loop.time, lambda side: end_sending_if_silent(side.alive))
+        self.limiter = ConnectionLimiter(descriptors, self.loop.time, lambda side: end_sending_if_silent(side.alive))
         self.log = RateLimitedLog(self.loop.time)
         self.network = OwnNetwork()
         self.clients: dict[int, ClientConnection] = {}
-        self.opened: dict[int, Open] = {}  # lines of jobs that may still be sent on
-        self.backends: dict[
-            int, BackendConnection
-        ] = {}  # of each job's attempt that is out, or its standing connection
+        self.opened: dict[int, Open] = {}
+        self.backends: dict[int, BackendConnection] = {}
         self.reaching: dict[int, Connecting] = {}
         self.effects: dict[type, Callable[[Any], None]] = {
-            OpenBackendConnection: self._reach,
-            ForwardRequest: self._ask,
-            AbortAttempt: self._drop,
-            StartRelaying: self._join,
-            RejectRequest: self._requeue,
-            FailRequest: self._deny,
-            MigrateConnection: self._move,
-            CloseClientConnection: self._close,
+            OpenBackendConnection: self._open_backend_connection,
+            ForwardRequest: self._forward_request,
+            AbortAttempt: self._abort_attempt,
+            StartRelaying: self._start_relaying,
+            RejectRequest: self._reject_request,
+            FailRequest: self._fail_request,
+            MigrateConnection: self._migrate_connection,
+            CloseClientConnection: self._close_client_connection,
         }
 
     def start(self) -> LineFront:
+        """Listens. Raises OSError where the address cannot be had."""
         self.listener = Listener(
-            self.config.listen, BACKLOG, self._client_connection, self.door.make_room, self.log_warning
+            self.config.listen, BACKLOG, self._client_connection, self.limiter.make_room, self.log_warning
         )
-        self.hub.fronts.append(self)
-        self.hub.connected_backends.append(self.connected)
+        self.service.fronts.append(self)
+        self.service.connected_backends.append(self.connected)
         logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
         return self
 
     async def end(self, until: float) -> None:
-        """Once the reducer begins nothing any more: whoever waits in the kernel is taken in and answered, whoever rests
-        is ended in order, all are heard to their end while there is time. A close over unread bytes would reset.
+        """Ends all connections in order, once the reducer begins nothing any more.
+
+        Whoever waits in the kernel is accepted and answered, whoever has sent no request is ended, and all are heard to
+        their end while there is time: a close over unread bytes would reset.
 
         until: a time of the loop. Where the process was held up beyond it, only hearing clients to their end falls
         short: each step before that is over when its work is done, not after a time.
         """
-        while not self.hub.reducer.has_ended(self.runtime.clock.now()):
+        while not self.service.reducer.has_ended(self.runtime.clock.now()):
             await asyncio.sleep(TURN_S)
         self.runtime.timers.run_due()  # with the end everybody is answered or migrated
         began = self.loop.time()
         await self.listener.close(until)
-        await self._end_resting()
-        await self._hear_clients(began + (until - began) * HEARD_FRACTION)
-        for backend in [side for side in self.door.connections if isinstance(side, BackendConnection)]:
+        await self._end_silent_clients()
+        await self._drain_clients(began + (until - began) * DRAIN_FRACTION)
+        for backend in [side for side in self.limiter.connections if isinstance(side, BackendConnection)]:
             backend.move_now()
-        await self._hear_clients(until)
+        await self._drain_clients(until)
         for _ in range(LAST_TURNS):
             await sockets_read()
 
-    async def _end_resting(self) -> None:
+    async def _end_silent_clients(self) -> None:
         """Reads what lies in the sockets, and ends in order whoever has sent no whole first line by then."""
         for turn in range(MAX_FIRST_LINE_TURNS):
             await sockets_read()
-            resting = [side for side in self.door.without_request if isinstance(side, ClientConnection)]
-            if not resting:
+            silent = [side for side in self.limiter.without_request if isinstance(side, ClientConnection)]
+            if not silent:
                 return
-            for client in resting:
-                client.rest_over(although_unread=turn == MAX_FIRST_LINE_TURNS - 1)
+            for client in silent:
+                client.end_if_silent(although_unread=turn == MAX_FIRST_LINE_TURNS - 1)
 
-    async def _hear_clients(self, until: float) -> None:
+    async def _drain_clients(self, until: float) -> None:
         """Hears those that were answered to their end, until this time of the loop."""
-        while self.loop.time() < until and any(isinstance(side, ClientConnection) for side in self.door.connections):
-            await asyncio.sleep(HEAR_INTERVAL_S)
+        while self.loop.time() < until and any(isinstance(side, ClientConnection) for side in self.limiter.connections):
+            await asyncio.sleep(DRAIN_POLL_S)
 
     def carry_out(self, effect: Effect) -> None:
+        """Carries out an effect on a request of this front."""
         handler = self.effects.get(type(effect))
-        if handler is not None:  # a node that is gone ends its connections itself
+        if handler is not None:  # a backend that is gone ends its connections itself
             handler(effect)
 
-    # --- reports of submitters ------------------------------------------------------------------
+    # --- reports of clients -----------------------------------------------------------------------
 
     def ready(self) -> bool:
-        return self.hub.ready()
+        """Returns whether the relay accepts new connections."""
+        return self.service.ready()
 
     def _client_connection(self) -> ClientConnection:
         return ClientConnection(self, self.listener.waited)
@@ -143,24 +160,26 @@
         return 0.0
 
     def client_connected(self, side: ClientConnection) -> None:
-        self.door.on_accepted(side)
+        """Counts the connection."""
+        self.limiter.on_accepted(side)
 
     def request_received(self, side: ClientConnection, opened: Open) -> None:
+        """Posts the request, or rejects a first line that makes no sense."""
         try:
-            arrived = self._request_of(side, opened)
+            received = self._request_of(side, opened)
         except LineError as error:
-            side.refuse(str(error))
+            side.reject_first_line(str(error))
             return
-        self.door.on_request(side)
-        side.request = arrived.request = self.hub.new_request(self)
+        self.limiter.on_request(side)
+        side.request = received.request = self.service.new_request(self)
         self.clients[side.request], self.opened[side.request] = side, opened
-        self.hub.post(arrived)
+        self.service.post(received)
 
     def _request_of(self, side: ClientConnection, opened: Open) -> RequestReceived:
         """The request that a first line stands for. Raises LineError where it makes no sense."""
         config = self.config
         try:
-            cls = self.hub.config.current_classes[opened.get("c")]
+            cls = self.service.config.current_classes[opened.get("c")]
             tenant = config.tenants.index(opened.get("t")) if config.tenants else 0
         except (KeyError, ValueError):
             raise LineError("a class or tenant that the settings do not name") from None
@@ -179,84 +198,97 @@
         )
 
     def unexpected_client_data(self, request: int) -> None:
-        self.hub.post(UnexpectedClientData(request))
+        """Posts it."""
+        self.service.post(UnexpectedClientData(request))
 
     def client_data_forwarded(self, request: int, lines: int) -> None:
+        """Posts it, unless no line was complete."""
         if lines:
-            self.hub.post(ClientDataForwarded(request, lines))
+            self.service.post(ClientDataForwarded(request, lines))
 
     def client_disconnected(self, request: int) -> None:
-        self.hub.post(ClientDisconnected(request))
+        """Posts it."""
+        self.service.post(ClientDisconnected(request))
 
     def client_connection_lost(self, side: ClientConnection) -> None:
-        self.door.on_closed(side)
+        """Forgets the connection, and its request where that is not over."""
+        self.limiter.on_closed(side)
         if self.clients.get(side.request) is side:
             self._forget(side.request)
 
-    def first_line_rejected(self, side: ClientConnection, why: str) -> None:
-        self.door.on_answered(side)
-        self.log_warning(why)
+    def first_line_rejected(self, side: ClientConnection, reason: str) -> None:
+        """Counts the connection as answered, and logs why."""
+        self.limiter.on_answered(side)
+        self.log_warning(reason)
 
     def idle_client_closed(self, side: ClientConnection) -> None:
-        self.door.on_answered(side)
+        """Counts the connection as answered."""
+        self.limiter.on_answered(side)
 
     def log_warning(self, text: str) -> None:
+        """Logs what clients or backends can cause, in bounds."""
         self.log.warn(text)
 
-    # --- reports of execute nodes ---------------------------------------------------------------
+    # --- reports of backends ----------------------------------------------------------------------
 
     def connected(self) -> set[str]:
-        """Execute nodes to which a connection stands or is under way, those that are only being closed included."""
-        return {side.backend for side in self.door.connections if isinstance(side, BackendConnection)}
+        """Returns the backends to which a connection stands, is under way or is being closed."""
+        return {side.backend for side in self.limiter.connections if isinstance(side, BackendConnection)}
 
     def backend_connected(self, side: BackendConnection) -> None:
+        """Posts it."""
         self.reaching.pop(side.request, None)
         self.network.works()
         if monotonic() > self.runtime.behind_at:
             self._report_delay(side)
-        self.hub.post(BackendConnected(side.request, side.attempt))
+        self.service.post(BackendConnected(side.request, side.attempt))
 
     def _report_delay(self, side: BackendConnection) -> None:
         """What comes of the backend now may have lain unread here: that is no delay of the backend."""
         delay_ms = last_data_age_ms(side.alive)
         if delay_ms > 0.0:
-            self.hub.post(BackendDataDelayed(side.request, delay_ms))
+            self.service.post(BackendDataDelayed(side.request, delay_ms))
 
     def backend_accepted(self, side: BackendConnection) -> None:
+        """Posts it."""
         if monotonic() > self.runtime.behind_at:
             self._report_delay(side)
-        self.hub.post(BackendAccepted(side.request, side.attempt))
+        self.service.post(BackendAccepted(side.request, side.attempt))
 
     def backend_data_forwarded(self, request: int, lines: int) -> None:
+        """Posts it."""
         if monotonic() > self.runtime.behind_at and (side := self.backends.get(request)) is not None:
             self._report_delay(side)
-        self.hub.post(BackendDataForwarded(request, lines))
+        self.service.post(BackendDataForwarded(request, lines))
 
     def backend_load_reported(self, request: int, load: float) -> None:
-        self.hub.post(UnclassifiedReport(request, load))
+        """Posts it."""
+        self.service.post(UnclassifiedReport(request, load))
 
     def backend_connection_lost(self, side: BackendConnection) -> None:
-        self.door.on_closed(side)
+        """Forgets the connection."""
+        self.limiter.on_closed(side)
 
-    def attempt_ended(self, side: BackendConnection, ending: TerminationReason) -> None:
+    def attempt_ended(self, side: BackendConnection, reason: TerminationReason) -> None:
+        """Posts it."""
         if self.backends.get(side.request) is side:
             del self.backends[side.request]
-        self.hub.post(AttemptEnded(side.request, side.attempt, ending))
+        self.service.post(AttemptEnded(side.request, side.attempt, reason))
 
-    # --- effects on execute nodes ---------------------------------------------------------------
+    # --- effects on backends ----------------------------------------------------------------------
 
-    def _reach(self, effect: OpenBackendConnection) -> None:
+    def _open_backend_connection(self, effect: OpenBackendConnection) -> None:
         side = BackendConnection(self, effect.request, effect.attempt, effect.backend)
         self.backends[effect.request] = side
-        self.door.on_backend_connecting(side)
-        connecting = Connecting(side, effect.address, lambda failure: self._unreached(side, failure))
+        self.limiter.on_backend_connecting(side)
+        connecting = Connecting(side, effect.address, lambda failure: self._on_unreached(side, failure))
         self.reaching[effect.request] = connecting
         connecting.start(effect.timeout_ms / 1000.0)
 
-    def _unreached(self, side: BackendConnection, failure: ConnectFailure) -> None:
+    def _on_unreached(self, side: BackendConnection, failure: ConnectFailure) -> None:
         """The attempt's connection did not come up, and never will: nothing was written on it."""
         self.reaching.pop(side.request, None)
-        self.door.on_closed(side)
+        self.limiter.on_closed(side)
         if failure.unexpected:
             self.log_warning(f"a connection to execute node {side.backend} failed: {failure.error!r}")
         side.unreached(
@@ -265,22 +297,22 @@
             else TerminationReason.CONNECT_FAILED
         )
 
-    def _ask(self, effect: ForwardRequest) -> None:
+    def _forward_request(self, effect: ForwardRequest) -> None:
         side, opened = self.backends.get(effect.request), self.opened.get(effect.request)
         if side is not None and opened is not None:
             side.ask(opened.forward(effect.remaining_ms))
 
-    def _drop(self, effect: AbortAttempt) -> None:
+    def _abort_attempt(self, effect: AbortAttempt) -> None:
         side = self.backends.pop(effect.request, None)
         if side is not None:
             side.drop()
         connecting = self.reaching.pop(effect.request, None)
         if connecting is not None and side is not None and connecting.cancel():
-            self.door.on_closed(side)
+            self.limiter.on_closed(side)
 
-    # --- effects on submitters ------------------------------------------------------------------
+    # --- effects on clients -----------------------------------------------------------------------
 
-    def _join(self, effect: StartRelaying) -> None:
+    def _start_relaying(self, effect: StartRelaying) -> None:
         client, backend = self.clients.get(effect.request), self.backends.get(effect.request)
         self.opened.pop(effect.request, None)
         if client is not None and backend is not None:
@@ -292,20 +324,20 @@
         self._forget(request)
         if client is not None:
             client.finish(line)
-            self.door.on_answered(client)
+            self.limiter.on_answered(client)
 
     def _forget(self, request: int) -> None:
         self.clients.pop(request, None)
         self.opened.pop(request, None)
-        self.hub.forget(request)
+        self.service.forget(request)
 
-    def _requeue(self, effect: RejectRequest) -> None:
-        self._answer(effect.request, lines.requeue_notice(effect.retry_after_ms))
+    def _reject_request(self, effect: RejectRequest) -> None:
+        self._answer(effect.request, lines.rejection_line(effect.retry_after_ms))
 
-    def _deny(self, effect: FailRequest) -> None:
+    def _fail_request(self, effect: FailRequest) -> None:
         self._answer(effect.request, lines.FAILED)
 
-    def _move(self, effect: MigrateConnection) -> None:
+    def _migrate_connection(self, effect: MigrateConnection) -> None:
         client, backend = self.clients.get(effect.request), self.backends.pop(effect.request, None)
         self._forget(effect.request)
         if client is None:
@@ -315,9 +347,9 @@
         else:
             client.finish(lines.MOVE)
 
-    def _close(self, effect: CloseClientConnection) -> None:
+    def _close_client_connection(self, effect: CloseClientConnection) -> None:
         client = self.clients.get(effect.request)
         self._forget(effect.request)
         if client is not None:
-            client.finish()  # in order, however the node ended: its last lines may still wait to be written
-            self.door.on_answered(client)
+            client.finish()  # in order, however the backend ended: its last lines may still wait to be written
+            self.limiter.on_answered(client)
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -115,12 +115,12 @@
         return answers, None
 
 
-def requeue_notice(after_ms: float) -> bytes:
+def rejection_line(after_ms: float) -> bytes:
     return b"BUSY %d\r\n" % round(after_ms) if after_ms >= 0.5 else b"BUSY\r\n"
 
 
-class Word(Enum):
-    """What an execute node's line says."""
+class LineKind(Enum):
+    """What a backend's line says, by its first word."""
 
     UP = "UP"
     BYE = "BYE"
@@ -131,11 +131,11 @@
     OTHER = ""
 
 
-WORDS = {word.value.encode(): word for word in Word if word.value}
+LINE_KINDS = {kind.value.encode(): kind for kind in LineKind if kind.value}
 
 
-def word_of(line: bytes) -> Word:
-    return WORDS.get(line.split(b" ", 1)[0], Word.OTHER)
+def kind_of(line: bytes) -> LineKind:
+    return LINE_KINDS.get(line.split(b" ", 1)[0], LineKind.OTHER)
 
 
 def load_of(line: bytes) -> float | None:
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -1,4 +1,4 @@
-"""The watch on the machine list over HTTP: one at a time, the next opened before the last is given up."""
+"""The watch on the endpoint list over HTTP: one at a time, the next opened before the last is given up."""
 
 from __future__ import annotations
 
@@ -14,31 +14,51 @@
 from yarrowspindle.transport.connecting import Connecting
 from yarrowspindle.transport.endpoint_list import WatchSide
 
-MAX_SLOW = 12  # calls under way beside the newest; each ends by itself after its time
+MAX_PENDING_CALLS = 12  # under way beside the newest; each ends by itself after its time
 
 
 class EndpointWatch:
-    """`told` is given each list; `failed` is told why a watch is over. Whoever asks for another is the module."""
-
-    def __init__(self, names: Names, told: Callable[[EndpointsUpdated], None], failed: Callable[[str], None]) -> None:
-        self.names, self.told, self.failed = names, told, failed
+    """Keeps one watch open. Whoever is given a failed update asks for the next one.
+
+    Args:
+        names: of zones and kinds, as the settings have them.
+        on_update: is given each list, and an update of the kind FAILED where the watch has ended.
+        on_failure: is given a reason for the log then.
+
+    Attributes:
+        watch: the newest call.
+        watch_at: the address of the discovery service that it was made to.
+        connecting: attempts to connect, by watch.
+        pending_calls: earlier calls to the same address that have brought no list yet.
+        former: the watch before, kept until its successor has brought its list.
+        last_active_at: seconds of the event loop at which a service last said anything after a list; None: never.
+        last_active_address: that service's.
+        version: the newest that was reported since `ask` last wanted the full list.
+        ended_as_older: whether the last watch was ended because its full list was older than that.
+    """
+
+    def __init__(
+        self, names: Names, on_update: Callable[[EndpointsUpdated], None], on_failure: Callable[[str], None]
+    ) -> None:
+        self.names, self.on_update, self.on_failure = names, on_update, on_failure
         self.watch: WatchSide | None = None
         self.watch_at: Address | None = None
         self.connecting: dict[WatchSide, Connecting] = {}
-        self.slow: deque[WatchSide] = deque()  # earlier calls at the same address that have told nothing yet
-        self.former: WatchSide | None = None  # kept until the watch that takes its place has told its list
+        self.pending_calls: deque[WatchSide] = deque()
+        self.former: WatchSide | None = None
         self.closed = False
-        self.heard_at: float | None = None  # when discovery, at the address below, last said anything after a list
-        self.heard_from: Address | None = None
-        self.version = 0  # the newest that was told since `ask` last wanted the whole list
-        self.older = False  # the last watch was ended because its whole list was older than that
+        self.last_active_at: float | None = None
+        self.last_active_address: Address | None = None
+        self.version = 0
+        self.ended_as_older = False
 
     def ask(self, version: int, address: Address, renew: bool = False) -> None:
         """Watches the list at this address from this version on; a watch that is there already goes on, or is renewed.
 
-        A watch that is renewed tells on until the new one has told something; so one that has gone silent is found. A
-        call that has told nothing yet goes on beside those after it: a service that answers each later than the next is
-        made is heard all the same."""
+        A watch that is renewed reports on until the new one has brought a list; so one that has gone silent is found.
+        A call that has brought none yet goes on beside those after it: a service that answers each later than the next
+        is made is heard all the same.
+        """
         if self.closed or (self.watch is not None and self.watch_at == address and not renew):
             return
         if self.watch is not None:
@@ -53,81 +73,86 @@
 
     def _replace(self, replaced: WatchSide, address: Address) -> None:
         self.watch = None
-        if replaced.told and self.former is None:
+        if replaced.has_list and self.former is None:
             self.former = replaced
-        elif not replaced.told and replaced.address == address:
-            self.slow.append(replaced)
-            if len(self.slow) > MAX_SLOW:
-                self._end(self.slow.popleft(), "too many calls are under way")
+        elif not replaced.has_list and replaced.address == address:
+            self.pending_calls.append(replaced)
+            if len(self.pending_calls) > MAX_PENDING_CALLS:
+                self._end(self.pending_calls.popleft(), "too many calls are under way")
         else:  # nothing is lost with it
             self._end(replaced, "another is opened in its place")
 
-    def _end(self, watch: WatchSide, why: str) -> None:
+    def _end(self, watch: WatchSide, reason: str) -> None:
         connecting = self.connecting.pop(watch, None)
         if connecting is not None:
             connecting.cancel()
-        watch.end(why)
+        watch.end(reason)
 
-    def _in_place(self, watch: WatchSide) -> None:
-        """An earlier call is answered: its watch takes the place of those made after it."""
-        self.slow.remove(watch)
-        others = [*self.slow, self.watch]
-        self.slow.clear()
+    def _promote(self, watch: WatchSide) -> None:
+        """Puts a call that was answered late in place of those made after it."""
+        self.pending_calls.remove(watch)
+        superseded = [*self.pending_calls, self.watch]
+        self.pending_calls.clear()
         self.watch = watch
-        for other in others:
-            if other is not None:
-                self._end(other, "an earlier call was answered")
+        for later in superseded:
+            if later is not None:
+                self._end(later, "an earlier call was answered")
 
     def close(self) -> None:
+        """Ends all calls, and reports nothing more."""
         self.closed = True
-        for watch in (self.watch, self.former, *self.slow):
+        for watch in (self.watch, self.former, *self.pending_calls):
             if watch is not None:
                 self._end(watch, "closed")
 
-    # --- reports of the transport ---------------------------------------------------------------
+    # --- reports of the watches -------------------------------------------------------------------
 
     def watch_active(self, watch: WatchSide) -> None:
-        """Whatever it was: what it told so far stands."""
+        """Notes when the service was heard: whatever it was, what it reported so far stands."""
         if watch is self.watch or (watch is self.former and watch.address == self.watch_at):
-            self.heard_at, self.heard_from = asyncio.get_running_loop().time(), watch.address
+            self.last_active_at, self.last_active_address = asyncio.get_running_loop().time(), watch.address
 
-    def _quiet_ms(self, watch: WatchSide) -> float | None:
+    def _silence_ms(self, watch: WatchSide) -> float | None:
         """How long ago this service was last heard; None: it was not."""
-        if self.heard_at is None or self.heard_from != watch.address:
+        if self.last_active_at is None or self.last_active_address != watch.address:
             return None
-        return (asyncio.get_running_loop().time() - self.heard_at) * 1000.0
-
-    def endpoints_received(self, watch: WatchSide, told: EndpointsUpdated) -> None:
-        """Word that is older than what is known would undo drains. A whole list like that is asked for once more, and
-        believed then: the service may count anew."""
-        if watch in self.slow:
-            self._in_place(watch)
-        if watch is self.watch and 0 < told.version < self.version:
-            if told.kind is ListKind.DELTA:
+        return (asyncio.get_running_loop().time() - self.last_active_at) * 1000.0
+
+    def endpoints_received(self, watch: WatchSide, update: EndpointsUpdated) -> None:
+        """Reports an update, unless it is older than what is known: it would undo drains.
+
+        A full list like that is asked for once more, and believed then: the service may count anew.
+        """
+        if watch in self.pending_calls:
+            self._promote(watch)
+        if watch is self.watch and 0 < update.version < self.version:
+            if update.kind is ListKind.DELTA:
                 return
-            if not self.older:
-                self.older = True
-                watch.end(f"a whole list of revision {told.version}, older than {self.version}")
+            if not self.ended_as_older:
+                self.ended_as_older = True
+                watch.end(f"a whole list of revision {update.version}, older than {self.version}")
                 return
         if watch is self.watch:
-            self.version, self.older = told.version, False
+            self.version, self.ended_as_older = update.version, False
         if watch is self.watch and self.former is not None:
             former, self.former = self.former, None
             former.end("another has taken its place")
         if watch is self.former and watch.address != self.watch_at:
-            told = replace(told, version=self.version)  # another service counts in another way: no place to go on from
+            # Another service counts in another way: no version to go on from.
+            update = replace(update, version=self.version)
         if watch in (self.watch, self.former):
-            told.since_last_update_ms = self._quiet_ms(watch)
-            self.told(told)
+            update.since_last_update_ms = self._silence_ms(watch)
+            self.on_update(update)
 
-    def watch_ended(self, watch: WatchSide, why: str) -> None:
+    def watch_ended(self, watch: WatchSide, reason: str) -> None:
+        """Reports a failure where it was the newest call."""
         self.connecting.pop(watch, None)
-        if watch in self.slow:
-            self.slow.remove(watch)
+        if watch in self.pending_calls:
+            self.pending_calls.remove(watch)
         if self.former is watch:
             self.former = None
         elif self.watch is watch:
             self.watch = None
             if not self.closed:
-                self.failed(why)
-                self.told(EndpointsUpdated(ListKind.FAILED))
+                self.on_failure(reason)
+                self.on_update(EndpointsUpdated(ListKind.FAILED))
--- a/yarrowspindle/runtime/health_checker.py
+++ b/yarrowspindle/runtime/health_checker.py
@@ -1,7 +1,8 @@
-"""Carries out the module's probes over sockets: a connection to each node that is probed, one question out on each.
+"""Carries out the balancer's health checks over sockets.
 
-Bounded: `most` connections, of which the one used longest ago makes room for a new one; each question has its time;
-a connection that was not used for `idle_s` is closed, before the node would do it.
+There is a connection to each backend that is checked, and one question out on each. The connection used longest ago
+makes room for a new one; each question has its time; a connection that was not used for `idle_s` is closed, before the
+backend would do it.
 """
 
 from __future__ import annotations
@@ -21,147 +22,173 @@
 from yarrowspindle.transport.probe import HealthCheckConnection
 from yarrowspindle.transport.silence import SilenceTimer
 
-MOST = 32  # connections; descriptors are set aside for them
-MAX_MUTE = 1024
+MAX_CONNECTIONS = 32  # descriptors are set aside for them
+MAX_SILENT_BACKENDS = 1024
 
 
 class PendingCheck:
-    """One node's connection, and the question that is out on it."""
+    """One backend's connection, and the question that is out on it.
 
-    __slots__ = ("side", "address", "since", "late", "opening")
+    Attributes:
+        side: the connection.
+        address: where the backend listens.
+        asked_at: seconds of the event loop at which the question was asked.
+        timeout: the question's time, then that of the idle connection.
+        connecting: the attempt to connect.
+    """
+
+    __slots__ = ("side", "address", "asked_at", "timeout", "connecting")
 
     def __init__(self, side: HealthCheckConnection, address: Address) -> None:
         self.side, self.address = side, address
-        self.since = 0.0
-        self.late: SilenceTimer | None = None  # the question's time, then the idle connection's
-        self.opening: Connecting | None = None
+        self.asked_at = 0.0
+        self.timeout: SilenceTimer | None = None
+        self.connecting: Connecting | None = None
 
 
 class HealthChecker:
-    """`over` is given each probe's end; `bad` a text on answers that make no sense."""
+    """The connections of all health checks.
+
+    Args:
+        fields: of the load report, as the settings name them.
+        idle_s: how long a connection that is not used stays open.
+        on_completed: is given the result of each check.
+        log_warning: is given a text on backends that do not answer, or answer nonsense.
+        max_connections: at once.
+    """
 
     def __init__(
         self,
         fields: tuple[str, ...],
         idle_s: float,
-        over: Callable[[HealthCheckCompleted], None],
-        bad: Callable[[str], None],
-        most: int = MOST,
+        on_completed: Callable[[HealthCheckCompleted], None],
+        log_warning: Callable[[str], None],
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        self.fields, self.idle_s, self.over, self.bad, self.most = fields, idle_s, over, bad, most
+        self.fields = fields
+        self.idle_s = idle_s
+        self.on_completed = on_completed
+        self.log_warning = log_warning
+        self.max_connections = max_connections
         self.backends: dict[str, PendingCheck] = {}  # used longest ago first
         self.counts: Counter[str] = Counter()
-        self.mute: set[str] = set()  # nodes whose last probe was not answered, so that the log says so once
+        self.silent: set[str] = set()  # whose last check was not answered, so that it is logged once
         self.closed = False
 
     def probe(self, effect: CheckHealth) -> None:
-        asked = self.backends.pop(effect.backend, None)
-        if asked is not None and asked.address != effect.address:
-            self._close(asked)
-            asked = None
-        if asked is not None and asked.side.asked:  # the last question is still out, and has its own end
-            self.backends[effect.backend] = asked
+        """Asks a backend for its load, on the connection that is there or a new one."""
+        check = self.backends.pop(effect.backend, None)
+        if check is not None and check.address != effect.address:
+            self._close(check)
+            check = None
+        if check is not None and check.side.asked:  # the last question is still out, and has its own end
+            self.backends[effect.backend] = check
             return
-        if self.closed or (asked is None and not self._room()):
-            self._tell(effect.backend, TerminationReason.NOT_SENT, 0.0)
+        if self.closed or (check is None and not self._make_room()):
+            self._complete(effect.backend, TerminationReason.NOT_SENT, 0.0)
             return
-        if asked is None:
-            asked = PendingCheck(HealthCheckConnection(self, effect.backend), effect.address)
-            asked.opening = Connecting(asked.side, effect.address, partial(self._unreached, asked.side))
-            asked.opening.start()
-        self.backends[effect.backend] = asked
+        if check is None:
+            check = PendingCheck(HealthCheckConnection(self, effect.backend), effect.address)
+            check.connecting = Connecting(check.side, effect.address, partial(self._on_unreached, check.side))
+            check.connecting.start()
+        self.backends[effect.backend] = check
         self.counts["sent"] += 1
-        asked.since = asyncio.get_running_loop().time()
-        if asked.late is not None:
-            asked.late.cancel()
-        asked.late = SilenceTimer(effect.timeout_ms / 1000.0, self._late, asked)
-        asked.side.ask()
+        check.asked_at = asyncio.get_running_loop().time()
+        if check.timeout is not None:
+            check.timeout.cancel()
+        check.timeout = SilenceTimer(effect.timeout_ms / 1000.0, self._on_timeout, check)
+        check.side.ask()
 
     def close(self) -> None:
+        """Closes all connections, and checks nothing more."""
         self.closed = True
-        for asked in list(self.backends.values()):
-            self._close(asked)
+        for check in list(self.backends.values()):
+            self._close(check)
         self.backends.clear()
 
     def leave(self, backends: Collection[str]) -> None:
-        """Nothing of ours stands there any more."""
+        """Closes the connections to these backends: no connection of this relay stands there any more."""
         for backend in self.backends.keys() & backends:
-            asked = self.backends.pop(backend, None)
-            if asked is None:  # the report on another one has ended it
+            check = self.backends.pop(backend, None)
+            if check is None:  # the report on another one has ended it
                 continue
-            self._close(asked)
-            if asked.side.asked:
-                self._tell(backend, TerminationReason.NOT_SENT, asked.since)
+            self._close(check)
+            if check.side.asked:
+                self._complete(backend, TerminationReason.NOT_SENT, check.asked_at)
 
     @staticmethod
-    def _late(asked: PendingCheck) -> None:
-        asked.side.end(TerminationReason.UNRESPONSIVE, "no answer in time")
+    def _on_timeout(check: PendingCheck) -> None:
+        check.side.end(TerminationReason.UNRESPONSIVE, "no answer in time")
 
-    def _room(self) -> bool:
-        """Whether one more connection may be opened; the one used longest ago goes where that is needed."""
-        if len(self.backends) < self.most:
+    def _make_room(self) -> bool:
+        """Returns whether one more connection may be opened; the one used longest ago goes where that is needed."""
+        if len(self.backends) < self.max_connections:
             return True
-        for backend, asked in self.backends.items():
-            if not asked.side.asked:
+        for backend, check in self.backends.items():
+            if not check.side.asked:
                 del self.backends[backend]
-                self._close(asked)
+                self._close(check)
                 return True
         return False
 
     @staticmethod
-    def _unreached(side: HealthCheckConnection, failure: ConnectFailure) -> None:
+    def _on_unreached(side: HealthCheckConnection, failure: ConnectFailure) -> None:
         side.end(TerminationReason.NOT_SENT if failure.own else TerminationReason.CONNECT_FAILED, str(failure))
 
-    def _close(self, asked: PendingCheck) -> None:
-        asked.side.over = True  # nothing more is told of it
-        if asked.side.transport is not None:
-            asked.side.transport.abort()
-        for pending in (asked.late, asked.opening):
+    def _close(self, check: PendingCheck) -> None:
+        check.side.over = True  # nothing more is reported of it
+        if check.side.transport is not None:
+            check.side.transport.abort()
+        for pending in (check.timeout, check.connecting):
             if pending is not None:
                 pending.cancel()
 
-    def _tell(self, backend: str, ending: TerminationReason, since: float, report: tuple[float, ...] = ()) -> None:
-        took = (asyncio.get_running_loop().time() - since) * 1000.0 if since else 0.0
-        self.counts[TERMINATION_REASONS[ending]] += 1
-        self.over(HealthCheckCompleted(backend, ending, took, report))
+    def _complete(
+        self, backend: str, reason: TerminationReason, asked_at: float, report: tuple[float, ...] = ()
+    ) -> None:
+        duration_ms = (asyncio.get_running_loop().time() - asked_at) * 1000.0 if asked_at else 0.0
+        self.counts[TERMINATION_REASONS[reason]] += 1
+        self.on_completed(HealthCheckCompleted(backend, reason, duration_ms, report))
 
-    # --- reports of the transport ---------------------------------------------------------------
+    # --- reports of the connections ---------------------------------------------------------------
 
     def health_check_answered(self, side: HealthCheckConnection, line: bytes) -> None:
-        asked = self.backends.get(side.backend)
-        if asked is None or asked.side is not side:
+        """Passes the load report on; one that makes no sense ends the connection."""
+        check = self.backends.get(side.backend)
+        if check is None or check.side is not side:
             return
         try:
             report = report_of(line, self.fields)
         except LineError as error:
             side.end(TerminationReason.PROTOCOL_ERROR, str(error))
             return
-        if asked.late is not None:
-            asked.late.cancel()
-        asked.late = SilenceTimer(self.idle_s, self._idle, side)
-        if side.backend in self.mute:
-            self.mute.discard(side.backend)
-            self.bad(f"execute node {side.backend} answers its probes again")
-        self._tell(side.backend, TerminationReason.COMPLETED, asked.since, report)
-
-    def _idle(self, side: HealthCheckConnection) -> None:
-        asked = self.backends.get(side.backend)
-        if asked is not None and asked.side is side and not side.asked:
+        if check.timeout is not None:
+            check.timeout.cancel()
+        check.timeout = SilenceTimer(self.idle_s, self._on_idle, side)
+        if side.backend in self.silent:
+            self.silent.discard(side.backend)
+            self.log_warning(f"execute node {side.backend} answers its probes again")
+        self._complete(side.backend, TerminationReason.COMPLETED, check.asked_at, report)
+
+    def _on_idle(self, side: HealthCheckConnection) -> None:
+        check = self.backends.get(side.backend)
+        if check is not None and check.side is side and not side.asked:
             del self.backends[side.backend]
-            self._close(asked)
+            self._close(check)
 
-    def health_check_ended(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None:
-        asked = self.backends.get(side.backend)
-        if asked is None or asked.side is not side:
+    def health_check_ended(self, side: HealthCheckConnection, reason: TerminationReason, text: str) -> None:
+        """Reports the check's failure where a question was out, and logs the first of a series."""
+        check = self.backends.get(side.backend)
+        if check is None or check.side is not side:
             return
         del self.backends[side.backend]
-        self._close(asked)
-        if ending is TerminationReason.PROTOCOL_ERROR:
-            self.bad(f"execute node {side.backend}: {why}")
-        if side.asked and side.backend not in self.mute:
-            if len(self.mute) >= MAX_MUTE:
-                self.mute.clear()
-            self.mute.add(side.backend)
-            self.bad(f"execute node {side.backend} does not answer its probe: {why}")
-        if side.asked or ending is TerminationReason.PROTOCOL_ERROR:
-            self._tell(side.backend, ending, asked.since)
+        self._close(check)
+        if reason is TerminationReason.PROTOCOL_ERROR:
+            self.log_warning(f"execute node {side.backend}: {text}")
+        if side.asked and side.backend not in self.silent:
+            if len(self.silent) >= MAX_SILENT_BACKENDS:
+                self.silent.clear()
+            self.silent.add(side.backend)
+            self.log_warning(f"execute node {side.backend} does not answer its probe: {text}")
+        if side.asked or reason is TerminationReason.PROTOCOL_ERROR:
+            self._complete(side.backend, reason, check.asked_at)
--- a/yarrowspindle/runtime/runtime.py
+++ b/yarrowspindle/runtime/runtime.py
@@ -1,4 +1,4 @@
-"""One runtime round the reducer, for daemon, library and both fronts: events, timers, owners, stalls, failures."""
+"""Runs the reducer, for daemon, library and both fronts: events, timers, owners of requests, stalls, failures."""
 
 from __future__ import annotations
 
@@ -32,24 +32,39 @@
 TICK, TICK_MS = "tick", 100.0
 BEHIND_MS = 20.0  # a tick that is so late: what came meanwhile may still lie unread in the sockets
 MIN_STEP_MS = 50.0  # a smaller change of the wall clock is its ordinary correction
-LATE_MS = TICK_MS + 150.0  # a tick that is so late: the loop stood still
+STALL_MS = TICK_MS + 150.0  # a tick that is so late: the loop stood still
 
 
 class Front(Protocol):
-    """Whoever carries out the effects on the jobs that it brought."""
+    """Carries out the effects on the requests that it has received."""
 
-    def carry_out(self, effect: Effect) -> None: ...
+    def carry_out(self, effect: Effect) -> None:
+        """Carries out one effect; called in their order."""
 
 
 class Runtime:
-    """Made inside a running event loop, or with timers that are driven by hand.
-
-    One event at a time: what an effect brings about at once waits until all effects are carried out. An event that the
-    core cannot take, or an effect that cannot be carried out, must not end the others' connections: it is logged.
-
-    log: is given a level ("info", "warning", "error") and a text; called for an error while the exception is handled.
-    watch, probe: carry out `Watch` and `Probe`. seen: each is given every event with its time, before the reducer is (a
-    recorder, metrics). effect: is given each effect on a job.
+    """One core with its timers, made inside a running event loop, or with timers that are driven by hand.
+
+    One event at a time: an event that an effect causes waits until all effects are carried out. An event that the core
+    fails on, or an effect that cannot be carried out, must not end other connections: it is logged.
+
+    Args:
+        reducer: the core.
+        clock: the source of time.
+        log: is given a level ("info", "warning", "error") and a text; called for an error while it is handled.
+        timers: driven by hand; the event loop's where they are left out.
+
+    Attributes:
+        watch, probe, unprobe: carry out `WatchEndpoints`, `CheckHealth` and `CancelHealthCheck`.
+        seen: each is given every event with its time, before the reducer is (a recorder, metrics).
+        effect: is given each effect on a request.
+        fronts: all that carry out effects.
+        owners: the front that received each request.
+        tick_late_ms: how late the last tick was; 0 where it was on time.
+        behind_at: seconds of time.monotonic from which on the loop may stand still, or stood still a moment ago: what
+            is read then may have waited to be read.
+        wall_step_ms: returns the steps of the wall clock since the start; of these the reducer knows `wall_stepped_ms`.
+        late_at: when a tick is so late that the loop stood still; inf: stalls are not looked for.
     """
 
     def __init__(
@@ -75,39 +90,40 @@
             CheckHealth: lambda effect: self.probe(effect),  # noqa: PLW0108  # set after this table is made
             CancelHealthCheck: lambda effect: self.unprobe(effect),  # noqa: PLW0108  # set after this table is made
             LogMessage: lambda effect: self.log("info", effect.text),
-            BackendRemoved: self._backend_gone,
+            BackendRemoved: self._remove_backend,
         }
         self.counts: Counter[str] = Counter()
         self.ticked = 0.0
         self.tick_due = inf
-        self.tick_late_ms = 0.0  # of the last tick; 0 where it was on time
-        # Seconds of time.monotonic from which on the loop may stand still, or stood still a moment ago: what is read
-        # then may have waited to be read.
+        self.tick_late_ms = 0.0
         self.behind_at = inf
-        self.wall_step_ms: Callable[[], float] = lambda: 0.0  # of the wall clock since the start
-        self.wall_stepped_ms = 0.0  # of that, what the reducer was told
-        self.late_at = inf  # when a tick is so late that the loop stood still; inf: stalls are not looked for
+        self.wall_step_ms: Callable[[], float] = lambda: 0.0
+        self.wall_stepped_ms = 0.0
+        self.late_at = inf
 
     def start(self) -> None:
         """From here on stalls of the loop are found."""
         self._tick()
 
     def close(self) -> None:
+        """Handles no more events, and cancels all timers."""
         self.closed = True
         self.late_at = inf
         self.timers.clear()
         self.owners.clear()
 
     def new_request(self, front: Front) -> int:
+        """Returns the number of a new request, whose effects go to this front."""
         self.requests += 1
         self.owners[self.requests] = front
         return self.requests
 
     def forget(self, request: int) -> None:
+        """No more effects on this request are carried out."""
         self.owners.pop(request, None)
 
     def post(self, event: Event) -> None:
-        """Tells the reducer. What has fallen due by now comes first, and a stall before that."""
+        """Runs the reducer on the event. What has fallen due by now comes first, and a stall before that."""
         if self.busy:
             self.queue.append(event)
         elif not self.closed:
@@ -125,7 +141,7 @@
             self.post(first)
             self.post(second)
 
-    def _run(self, event: Event) -> None:
+    def _run(self, event: Event) -> None:  # noqa: C901  # on the path of each line: no call for each effect
         queue, step, handlers, owners = self.queue, self.reducer.step, self.handlers, self.owners
         self.busy = True
         try:
@@ -148,7 +164,7 @@
                         if handler is not None:
                             handler(effect)
                             continue
-                        front = owners.get(effect.request)  # type: ignore[union-attr]  # all others are of a job
+                        front = owners.get(effect.request)  # type: ignore[union-attr]  # all others are of a request
                         if front is not None:
                             if self.effect is not None:
                                 self.effect(effect)
@@ -175,13 +191,13 @@
             return what.timer[1] if isinstance(what.timer, tuple) and isinstance(what.timer[1], int) else 0
         return getattr(what, "request", 0)
 
-    def _backend_gone(self, effect: BackendRemoved) -> None:
+    def _remove_backend(self, effect: BackendRemoved) -> None:
         for front in self.fronts:
             front.carry_out(effect)
 
     # --- time -----------------------------------------------------------------------------------
 
-    def held_up_ms(self) -> float:
+    def recent_delay_ms(self) -> float:
         """For how long, at the most, the loop has just stood still; 0 where it keeps up."""
         late_ms = max(self.tick_late_ms, self.clock.now() - self.tick_due)
         return late_ms + TICK_MS if late_ms > BEHIND_MS else 0.0
@@ -192,7 +208,7 @@
         self.tick_late_ms = 0.0 if on_time else now - self.tick_due
         self.tick_due = now + TICK_MS
         self.behind_at = time.monotonic() + (TICK_MS + BEHIND_MS) / 1000.0 if on_time else 0.0
-        self.late_at = self.ticked + LATE_MS
+        self.late_at = self.ticked + STALL_MS
         self.timers.set(TICK_MS, TICK)
         step = self.wall_step_ms() - self.wall_stepped_ms
         if abs(step) >= MIN_STEP_MS:
@@ -204,7 +220,7 @@
     def _stalled(self) -> None:
         """The loop may have stood still from the last tick on: nobody knows better."""
         now = self.clock.now()
-        late, self.ticked, self.late_at = now - self.ticked, now, now + LATE_MS
+        late, self.ticked, self.late_at = now - self.ticked, now, now + STALL_MS
         self.counts["stalls"] += 1
         self.counts["stalled_ms"] += int(late)
         self.log("warning", f"the event loop stood still for {late:.0f} ms")
--- a/yarrowspindle/runtime/timers.py
+++ b/yarrowspindle/runtime/timers.py
@@ -8,18 +8,25 @@
 from collections.abc import Callable
 from typing import Protocol
 
+# The heap keeps timers that were cancelled; it is made anew where it holds so many entries for each that is set.
+MIN_HEAP, MAX_HEAP_FACTOR = 64, 4
+
 
 class Clock(Protocol):
-    """Unix milliseconds that never go back."""
+    """A source of time that never goes back."""
 
-    def now(self) -> float: ...
+    def now(self) -> float:
+        """Returns Unix milliseconds."""
 
 
 class SystemClock:
+    """The wall clock as it was at the start of this clock, carried on by the monotonic one."""
+
     def __init__(self) -> None:
         self.offset = time.time() - time.monotonic()
 
     def now(self) -> float:
+        """Returns Unix milliseconds that no step of the wall clock changes."""
         return (time.monotonic() + self.offset) * 1000.0
 
     def wall_step_ms(self) -> float:
@@ -28,7 +35,7 @@
 
 
 class Timers:
-    """What falls due, ordered by (time due, order of setting).
+    """Timers by name, ordered by (deadline, order of setting); `due` is called with the name of each that fires.
 
     The event loop wakes it once for the earliest. `run_due` may be called at any time: after a stall all that has
     fallen due runs before anything else, in its order, though the loop would run what came in over sockets first.
@@ -45,6 +52,7 @@
         self.running = False
 
     def set(self, delay_ms: float, what: object) -> None:
+        """Sets a timer, in place of an earlier one of this name."""
         self.sequence = sequence = self.sequence + 1
         at = self.clock.now() + (delay_ms if delay_ms > 0.0 else 0.0)
         self.current[what] = (at, sequence)
@@ -53,12 +61,14 @@
             self._arm()
 
     def cancel(self, what: object) -> None:
+        """Cancels the timer of this name, where there is one."""
         self.current.pop(what, None)
-        if len(self.heap) > 64 and len(self.heap) > 4 * len(self.current):
+        if len(self.heap) > max(MIN_HEAP, MAX_HEAP_FACTOR * len(self.current)):
             self.heap = [entry for entry in self.heap if self.current.get(entry[2]) == entry[:2]]
             heapq.heapify(self.heap)
 
     def run_due(self) -> None:
+        """Fires all timers whose time has come, in their order."""
         if self.running:
             return
         self.running = True
@@ -73,6 +83,7 @@
             self._arm()
 
     def clear(self) -> None:
+        """Cancels all timers."""
         self.heap.clear()
         self.current.clear()
         if self.handle is not None:
@@ -102,7 +113,7 @@
     """For a replay: what fell due stands in the sequence."""
 
     def set(self, delay_ms: float, what: object) -> None:
-        pass
+        """Does nothing."""
 
     def cancel(self, what: object) -> None:
-        pass
+        """Does nothing."""
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -1,4 +1,4 @@
-"""The execute node's side: one attempt, and the standing connection that may come of it."""
+"""The backend's side: one attempt, and the established connection that may come of it."""
 
 from __future__ import annotations
 
@@ -6,117 +6,158 @@
 from typing import Protocol
 
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, Lines, Word, load_of, word_of
+from yarrowspindle.protocol.lines import LineError, LineKind, Lines, kind_of, load_of
 from yarrowspindle.routing.termination import TerminationReason
 from yarrowspindle.transport.line_connection import LineConnection
 from yarrowspindle.transport.silence import SilenceTimer
 
-MOVE_WAIT_S = 0.5  # for the rest of a line that a MOVE must not cut
+LINE_REST_S = 0.5  # how long a migration waits for the rest of a line that MOVE must not cut
 
 ANSWERS = {
-    Word.BYE: TerminationReason.COMPLETED,
-    Word.MOVE: TerminationReason.BACKEND_DRAINING,
-    Word.ERR: TerminationReason.BACKEND_ERROR,
-    Word.BUSY: TerminationReason.REJECTED,
+    LineKind.BYE: TerminationReason.COMPLETED,
+    LineKind.MOVE: TerminationReason.BACKEND_DRAINING,
+    LineKind.ERR: TerminationReason.BACKEND_ERROR,
+    LineKind.BUSY: TerminationReason.REJECTED,
 }
 
 
 class BackendSink(Protocol):
     """What a backend's connection reports to. Any call but `log_warning` may end the connection."""
 
-    def backend_connected(self, side: BackendConnection) -> None: ...
-    def backend_accepted(self, side: BackendConnection) -> None: ...
-    def backend_data_forwarded(self, request: int, lines: int) -> None: ...
-    def backend_load_reported(self, request: int, load: float) -> None: ...
-    def backend_connection_lost(self, side: BackendConnection) -> None: ...
-    def attempt_ended(self, side: BackendConnection, ending: TerminationReason) -> None: ...
-    def log_warning(self, text: str) -> None: ...
+    def backend_connected(self, side: BackendConnection) -> None:
+        """The connection came up; nothing is sent yet."""
+
+    def backend_accepted(self, side: BackendConnection) -> None:
+        """The backend has answered UP."""
+
+    def backend_data_forwarded(self, request: int, lines: int) -> None:
+        """So many lines that answer the client's were passed on to it."""
+
+    def backend_load_reported(self, request: int, load: float) -> None:
+        """A LOAD line came and was passed on."""
+
+    def backend_connection_lost(self, side: BackendConnection) -> None:
+        """The connection is closed; reported once."""
+
+    def attempt_ended(self, side: BackendConnection, reason: TerminationReason) -> None:
+        """The attempt, or the established connection, has ended by the backend; reported once at most."""
+
+    def log_warning(self, text: str) -> None:
+        """Logs what the backend should not have sent."""
 
 
 class BackendConnection(LineConnection):
+    """One attempt.
+
+    Args:
+        sink: receives the reports.
+        request: the number of the request.
+        attempt: the number of the attempt.
+        backend: the backend's name.
+
+    Attributes:
+        lines: what has come, cut into lines.
+        first: the UP line, as it came.
+        early: what came right behind it, until both sides relay.
+        is_asked: whether the request was written.
+        is_up: whether the backend has accepted it.
+        end_reported: whether the sink knows the end, or has asked for it: nothing more is reported.
+        last: what the backend's last line says of the end to come.
+        migrating: the client that is sent away, once its line is complete.
+        migration_timer: until the rest of a line is waited for no longer.
+    """
+
     def __init__(self, sink: BackendSink, request: int, attempt: int, backend: str = "") -> None:
         super().__init__()
         self.sink, self.request, self.attempt, self.backend = sink, request, attempt, backend
         self.lines = Lines()
-        self.first = b""  # the UP line, as it came
-        self.early = b""  # what came right behind it
-        self.asked = self.up = self.told = False
-        self.last: TerminationReason | None = None  # what the node's last line says of the end to come
-        self.moving: LineConnection | None = None
-        self.later: SilenceTimer | None = None
+        self.first = b""
+        self.early = b""
+        self.is_asked = self.is_up = self.end_reported = False
+        self.last: TerminationReason | None = None
+        self.migrating: LineConnection | None = None
+        self.migration_timer: SilenceTimer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Reports that the connection is up, unless it was given up meanwhile."""
         super().connection_made(transport)
-        if self.told:  # given up while it came up
+        if self.end_reported:
             self.abort()
         else:
             self.sink.backend_connected(self)
 
     def ask(self, line: bytes) -> None:
-        self.asked = True
+        """Sends the request's first line."""
+        self.is_asked = True
         self.write(line)
 
     def data_received(self, data: bytes) -> None:
+        """Passes lines on to the client, or reads the backend's answer."""
         if self.closing:
-            self.thrown += len(data)
-            return
-        if self.up:
-            self._flow(data)
-            return
+            self.discarded_bytes += len(data)
+        elif self.is_up:
+            self._forward(data)
+        else:
+            self._read_answer(data)
+
+    def _read_answer(self, data: bytes) -> None:
         try:
-            whole = self.lines.feed(data)
+            complete = self.lines.feed(data)
         except LineError as error:
             self.sink.log_warning(f"an execute node sent {error}")
-            self._over(TerminationReason.PROTOCOL_ERROR)
+            self._end(TerminationReason.PROTOCOL_ERROR)
             return
-        if not whole:
+        if not complete:
             return
-        word = word_of(whole[0])
-        if word is Word.UP:
-            self.up = True
-            self.first = whole[0] + lines.END
-            self.early = b"".join(line + lines.END for line in whole[1:]) + self.lines.rest
-            self.lines.rest = b""
-            self.sink.backend_accepted(self)
-        else:
-            if word not in ANSWERS:
-                self.sink.log_warning(f"an execute node answered {whole[0][:60]!r}")
-            self._over(ANSWERS.get(word, TerminationReason.PROTOCOL_ERROR))
+        kind = kind_of(complete[0])
+        if kind is LineKind.UP:
+            self._accept(complete)
+            return
+        if kind not in ANSWERS:
+            self.sink.log_warning(f"an execute node answered {complete[0][:60]!r}")
+        self._end(ANSWERS.get(kind, TerminationReason.PROTOCOL_ERROR))
+
+    def _accept(self, complete: list[bytes]) -> None:
+        self.is_up = True
+        self.first = complete[0] + lines.END
+        self.early = b"".join(line + lines.END for line in complete[1:]) + self.lines.rest
+        self.lines.rest = b""
+        self.sink.backend_accepted(self)
 
     def flow(self) -> None:
-        """Called once the other side is set; what came with the UP line follows it."""
+        """Passes on what came with the UP line; called once the other side is set."""
         early, self.early = self.early, b""
         if early:
-            self._flow(early)
+            self._forward(early)
 
-    def _flow(self, data: bytes) -> None:
+    def _forward(self, data: bytes) -> None:
         if self.other is None:
             self.early += data
             return
-        if self.moving is not None:
-            self._move_between(data)
+        if self.migrating is not None:
+            self._forward_rest_of_line(data)
             return
         self.other.write(data)
         try:
-            whole = self.lines.feed(data)
+            complete = self.lines.feed(data)
         except LineError as error:
             self.sink.log_warning(f"an execute node sent {error}")
-            self._over(TerminationReason.CONNECTION_RESET)
+            self._end(TerminationReason.CONNECTION_RESET)
             return
-        self._report(whole)
+        self._report(complete)
 
-    def _report(self, whole: list[bytes]) -> None:
+    def _report(self, complete: list[bytes]) -> None:
         """Reports loads, then how many lines answer the client's, until a report ends the connection."""
         loads: list[float] = []
         answers = 0
-        for line in whole:
-            word = word_of(line)
-            if word is Word.LOAD:
+        for line in complete:
+            kind = kind_of(line)
+            if kind is LineKind.LOAD:
                 load = load_of(line)
                 if load is not None:
                     loads.append(load)
             else:
-                self.last = ANSWERS.get(word)
+                self.last = ANSWERS.get(kind)
                 answers += self.last is None
         for load in loads:
             if not self.closing:
@@ -125,69 +166,70 @@
             self.sink.backend_data_forwarded(self.request, answers)
 
     def move(self, client: LineConnection) -> None:
-        """Send the submitter away, at once if its stream stands between two lines, else behind the line."""
-        self.moving = client
+        """Migrates the client: at once if its stream stands between two lines, else behind the line."""
+        self.migrating = client
         if self.lines.between:
-            self._moved()
+            self._finish_migration()
         else:
-            self.later = SilenceTimer(MOVE_WAIT_S, self._moved)
+            self.migration_timer = SilenceTimer(LINE_REST_S, self._finish_migration)
 
-    def _move_between(self, data: bytes) -> None:
+    def _forward_rest_of_line(self, data: bytes) -> None:
         end = data.find(b"\n") + 1
-        if self.moving is not None:
-            self.moving.write(data[:end] if end else data)
+        if self.migrating is not None:
+            self.migrating.write(data[:end] if end else data)
         if end:
             self.lines.rest = b""
-            self._moved()
+            self._finish_migration()
 
     def move_now(self) -> None:
-        """The rest of the line is waited for no longer."""
-        if self.moving is not None:
-            self._moved()
-
-    def _moved(self) -> None:
-        if self.later is not None:
-            self.later.cancel()
-            self.later = None
-        if self.moving is not None:
-            self.moving.finish(lines.MOVE if self.lines.between else lines.END + lines.MOVE)
-            self.moving = None
-        self.told = True
+        """Waits no longer for the rest of a line, where a migration does."""
+        if self.migrating is not None:
+            self._finish_migration()
+
+    def _finish_migration(self) -> None:
+        if self.migration_timer is not None:
+            self.migration_timer.cancel()
+            self.migration_timer = None
+        if self.migrating is not None:
+            self.migrating.finish(lines.MOVE if self.lines.between else lines.END + lines.MOVE)
+            self.migrating = None
+        self.end_reported = True
         self.finish()
 
-    def unreached(self, ending: TerminationReason) -> None:
-        """Its connection has not come up; one that does all the same is closed without a byte."""
+    def unreached(self, reason: TerminationReason) -> None:
+        """Ends the attempt: its connection has not come up. One that does all the same is closed without a byte."""
         self.closing = True
-        if not self.told:
-            self.told = True
-            self.sink.attempt_ended(self, ending)
+        if not self.end_reported:
+            self.end_reported = True
+            self.sink.attempt_ended(self, reason)
 
     def drop(self) -> None:
-        """The attempt is given up: end the connection, and say nothing more of it."""
-        self.told = True
+        """Gives the attempt up: ends the connection, and reports nothing more of it."""
+        self.end_reported = True
         self.finish()
 
     def eof_received(self) -> bool:
-        self._end()
+        """The backend has ended its sending."""
+        self._end(self._reason_for_end())
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Reports that the connection is closed, and its end where that is not reported yet."""
         super().connection_lost(exc)
-        sent = self.asked and (self.transport is None or self.transport.get_write_buffer_size() == 0)
+        was_sent = self.transport is None or self.transport.get_write_buffer_size() == 0
         self.transport = None
-        if self.moving is not None:
-            self._moved()
+        self.move_now()
         self.sink.backend_connection_lost(self)
-        self._end(sent)
+        self._end(self._reason_for_end(was_sent))
 
-    def _end(self, sent: bool = True) -> None:
-        if self.up:
-            self._over(self.last or TerminationReason.CONNECTION_RESET)
-        else:
-            self._over(TerminationReason.CONNECTION_RESET if self.asked and sent else TerminationReason.CONNECT_FAILED)
+    def _reason_for_end(self, was_sent: bool = True) -> TerminationReason:
+        if self.is_up:
+            return self.last or TerminationReason.CONNECTION_RESET
+        may_have_run = self.is_asked and was_sent
+        return TerminationReason.CONNECTION_RESET if may_have_run else TerminationReason.CONNECT_FAILED
 
-    def _over(self, ending: TerminationReason) -> None:
-        if not self.told:
-            self.told = True
+    def _end(self, reason: TerminationReason) -> None:
+        if not self.end_reported:
+            self.end_reported = True
             self.finish()
-            self.sink.attempt_ended(self, ending)
+            self.sink.attempt_ended(self, reason)
--- a/yarrowspindle/transport/connecting.py
+++ b/yarrowspindle/transport/connecting.py
@@ -36,7 +36,7 @@
 )
 
 
-NO_WAY = frozenset((errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EHOSTDOWN))
+NO_ROUTE = frozenset((errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EHOSTDOWN))
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,9 +51,9 @@
         return self.error is not None and (self.unexpected or self.errno in OWN_FAILURES)
 
     @property
-    def no_way(self) -> bool:
-        """Whether the system found no way there: the other end's fault, or that of the own network."""
-        return self.errno in NO_WAY
+    def no_route(self) -> bool:
+        """Whether the system found no route there: the other end's fault, or that of the own network."""
+        return self.errno in NO_ROUTE
 
     @property
     def errno(self) -> int:
@@ -70,15 +70,17 @@
 
 
 class OwnNetwork:
-    """Tells a server to which there is no way from an own network that has none to anybody: of servers that fail so
-    with no connection in between only the first is held to have failed."""
+    """Tells a backend to which there is no route from an own network that has none to anybody.
+
+    Of backends that fail so with no connection in between only the first counts as failed.
+    """
 
     def __init__(self) -> None:
-        self.failed = ""  # the first server to which there was no way since a connection came up
+        self.failed = ""  # the first backend to which there was no route since a connection came up
 
     def at_fault(self, backend: str, failure: ConnectFailure) -> bool:
-        """Whether this failure says nothing of the server."""
-        if not failure.no_way:
+        """Returns whether this failure says nothing of the backend."""
+        if not failure.no_route:
             return failure.own
         self.failed = self.failed or backend
         return self.failed != backend
@@ -103,6 +105,7 @@
         self.connecting = connecting
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Puts the protocol in its place, or closes a connection that nobody waits for any more."""
         stream = cast(asyncio.Transport, transport)
         if self.connecting.state is State.OVER:
             stream.abort()
--- a/yarrowspindle/transport/datagrams.py
+++ b/yarrowspindle/transport/datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams: the front's own socket, and one socket for each path from a client's address to a node."""
+"""Datagrams: a listening socket, and one socket for each path from a client's address to a backend."""
 
 from __future__ import annotations
 
@@ -8,55 +8,81 @@
 
 from yarrowspindle.routing.address import Address
 
-AGAIN_S = 1.0  # an address that is taken is tried again
-PENDING = 32  # datagrams kept until a path's socket is there
+RETRY_S = 1.0  # an address that is in use is tried again
+MAX_PENDING = 32  # datagrams kept until a path's socket is there
 
 
 class Front(asyncio.DatagramProtocol):
-    def __init__(self, came: Callable[[bytes, Address], None]) -> None:
-        self.came = came
+    """A listening socket.
+
+    Args:
+        on_datagram: is given each datagram with its sender's address.
+    """
+
+    def __init__(self, on_datagram: Callable[[bytes, Address], None]) -> None:
+        self.on_datagram = on_datagram
         self.transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, listen: Address, taken: Callable[[Exception], None]) -> None:
-        """Until the address can be had: the process before this one may still have it. taken: told once why not, also
-        where the address makes no sense."""
-        said = False
+    async def open(self, listen: Address, on_unavailable: Callable[[Exception], None]) -> None:
+        """Returns once it listens: the process before this one may still have the address.
+
+        on_unavailable: is given once why it does not yet, also where the address makes no sense.
+        """
+        reported = False
         while True:
             try:
                 await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=listen)
                 return
             except Exception as error:  # whatever it is, somebody waits for the socket
-                if not said:
-                    taken(error)
-                said = True
-                await asyncio.sleep(AGAIN_S)
+                if not reported:
+                    on_unavailable(error)
+                reported = True
+                await asyncio.sleep(RETRY_S)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
-        self.came(data, (addr[0], addr[1]))
+        """Passes a datagram on."""
+        self.on_datagram(data, (addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         """A client's port is closed; its ids expire by themselves."""
 
     def send(self, data: bytes, client: Address) -> None:
+        """Sends a datagram, unless the socket is not open."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, client)
 
 
 class Path(asyncio.DatagramProtocol):
-    """From one address of a client to one node. The node sees another address when the client's changes, and
-    checks it as RFC 9000 section 9 has it; answers go to the address that they were meant for."""
+    """From one address of a client to one backend.
+
+    The backend sees another address when the client's changes, and checks it as RFC 9000 section 9 has it; answers go
+    to the address that they were meant for.
+
+    Args:
+        on_datagram: is given each of the backend's datagrams. It may close the path, as may:
+        on_refused: called where the backend's port is closed.
+        client: the client's address.
+
+    Attributes:
+        pending: what waits for the socket.
+        used: seconds of the event loop at which the path was used last.
+    """
 
-    def __init__(self, came: Callable[[Path, bytes], None], refused: Callable[[Path], None], client: Address) -> None:
-        self.came, self.refused, self.client = came, refused, client
+    def __init__(
+        self, on_datagram: Callable[[Path, bytes], None], on_refused: Callable[[Path], None], client: Address
+    ) -> None:
+        self.on_datagram, self.on_refused, self.client = on_datagram, on_refused, client
         self.transport: asyncio.DatagramTransport | None = None
         self.pending: list[bytes] = []
         self.closed = False
         self.used = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends what waits for the socket."""
         self.transport = cast(asyncio.DatagramTransport, transport)
         if self.closed:
             self.transport.abort()
@@ -67,22 +93,26 @@
                 self.transport.sendto(data)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Passes a datagram on."""
         if not self.closed:
-            self.came(self, data)
+            self.on_datagram(self, data)
 
     def error_received(self, exc: Exception) -> None:
+        """Reports that the backend's port is closed."""
         if not self.closed:
-            self.refused(self)
+            self.on_refused(self)
 
     def send(self, data: bytes) -> None:
+        """Sends a datagram to the backend, as soon as the socket is open."""
         if self.closed:
             return
         if self.transport is not None:
             self.transport.sendto(data)
-        elif len(self.pending) < PENDING:
+        elif len(self.pending) < MAX_PENDING:
             self.pending.append(data)
 
     def close(self) -> None:
+        """Closes the socket; nothing more is reported."""
         self.closed = True
         self.pending.clear()
         if self.transport is not None:
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -1,4 +1,4 @@
-"""What both ends of a relayed connection have in common: a transport, the other side, flow control."""
+"""What both ends of a relayed connection have in common: a transport, the other side, flow control, an orderly end."""
 
 from __future__ import annotations
 
@@ -12,25 +12,39 @@
 
 from yarrowspindle.transport.silence import SilenceTimer
 
-GRACE_S = 0.5  # after our end of sending, for the peer to end as well, if it sends nothing more
-THROWN_S = 5.0  # for a peer that goes on sending: it reads our last line once it has sent all
-MAX_THROWN = 256 << 20
-STUCK_S = 2.0  # a peer that takes none of what is still to be sent for so long is waited for no longer
-TAIL_S = 60.0  # nor is one that reads ever so slowly, after so long
+LINGER_INTERVAL_S = 0.5  # after our end of sending, for the peer to end as well, if it sends nothing more
+MAX_DISCARD_S = 5.0  # for a peer that goes on sending: it reads our last line once it has sent all
+MAX_DISCARDED_BYTES = 256 << 20
+MAX_STALLED_WRITE_S = 2.0  # a peer that takes none of what is still to be sent for so long is not waited for
+MAX_SLOW_WRITE_S = 60.0  # nor is one that reads ever so slowly, after so long
 INT = struct.Struct("@i")
 
 
 class LineConnection(asyncio.Protocol):
+    """One side of a relayed connection. Times are seconds of the event loop.
+
+    Attributes:
+        transport: None before the connection is made and after it is lost.
+        other: the other side, once both sides relay.
+        closing: whether our sending has ended; what still comes in is discarded.
+        discarded_bytes: how much came in since.
+        linger_timer: until the peer is looked at again, after our end.
+        finished_at: when our sending ended.
+        read_at: when the peer was last seen to read.
+        last_unsent: what the peer had not taken yet, when it was looked at last.
+    """
+
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
-        self.other: LineConnection | None = None  # set once both sides flow
+        self.other: LineConnection | None = None
         self.closing = False
-        self.thrown = 0  # bytes that came after our end
-        self.late: SilenceTimer | None = None
-        self.finished_at = self.read_at = 0.0  # when we ended our sending, and when the peer was last seen to read
-        self.unsent_seen = -1
+        self.discarded_bytes = 0
+        self.linger_timer: SilenceTimer | None = None
+        self.finished_at = self.read_at = 0.0
+        self.last_unsent = -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport, which sends without delay from here on."""
         self.transport = cast(asyncio.Transport, transport)
         sock: Any = transport.get_extra_info("socket")
         if sock is not None and sock.family != socket.AF_UNIX:
@@ -43,20 +57,23 @@
         return self.transport if self.transport is not None and not self.transport.is_closing() else None
 
     def write(self, data: bytes) -> None:
+        """Sends bytes, unless our sending has ended."""
         transport = self.alive
         if transport is not None and not self.closing:
             transport.write(data)
 
     def pause_writing(self) -> None:
+        """Reads nothing more from the other side: this one does not keep up."""
         if self.other is not None and (transport := self.other.alive):
             transport.pause_reading()
 
     def resume_writing(self) -> None:
+        """Reads from the other side again."""
         if self.other is not None and (transport := self.other.alive):
             transport.resume_reading()
 
     def finish(self, last: bytes = b"") -> None:
-        """Send what is left and end the connection in order; what still comes in is thrown away."""
+        """Sends what is left and ends the connection in order; what still comes in is discarded."""
         transport, closing = self.alive, self.closing
         self.closing = True
         self.other = None
@@ -70,28 +87,30 @@
         if transport.can_write_eof():
             transport.write_eof()
         self.finished_at = self.read_at = asyncio.get_running_loop().time()
-        self._linger_again(self.finished_at + THROWN_S)
+        self._linger_again(self.finished_at + MAX_DISCARD_S)
 
     def _linger_again(self, until: float) -> None:
-        self.late = SilenceTimer(GRACE_S, self._linger, self.thrown, until)
+        self.linger_timer = SilenceTimer(LINGER_INTERVAL_S, self._linger, self.discarded_bytes, until)
+
+    def _linger(self, discarded_bytes: int, until: float) -> None:
+        """Aborts the connection, unless the peer still sends, or still reads what is left, within bounds.
 
-    def _linger(self, thrown: int, until: float) -> None:
-        """A peer with much to send is heard out, within bounds; a reset could take our last line from it. One that
-        reads slowly is waited for while it goes on reading."""
+        A reset could take our last line from a peer with much to send.
+        """
         now = asyncio.get_running_loop().time()
-        unsent = self.unsent()
-        if unsent != self.unsent_seen:
-            self.unsent_seen, self.read_at = unsent, now
-        reads = unsent > 0 and now < min(self.read_at + STUCK_S, self.finished_at + TAIL_S)
+        unsent = self.unsent_bytes()
+        if unsent != self.last_unsent:
+            self.last_unsent, self.read_at = unsent, now
+        reads = unsent > 0 and now < min(self.read_at + MAX_STALLED_WRITE_S, self.finished_at + MAX_SLOW_WRITE_S)
         if reads:
-            until = now + THROWN_S
-        if reads or (thrown < self.thrown < MAX_THROWN and now < until):
+            until = now + MAX_DISCARD_S
+        if reads or (discarded_bytes < self.discarded_bytes < MAX_DISCARDED_BYTES and now < until):
             self._linger_again(until)
         else:
             self.abort()
 
-    def unsent(self) -> int:
-        """Bytes that the peer has not taken yet: those of the transport, and those in the system's send buffer."""
+    def unsent_bytes(self) -> int:
+        """Returns what the peer has not taken yet: in the transport, and in the system's send buffer."""
         transport = self.alive
         if transport is None:
             return 0
@@ -106,12 +125,14 @@
         return waiting + int(queued)
 
     def abort(self) -> None:
+        """Closes the connection at once; what is left to send is dropped."""
         self.closing = True
         self.other = None
         if transport := self.alive:
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.late is not None:
-            self.late.cancel()
-            self.late = None
+        """Stops the timers."""
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
+            self.linger_timer = None
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -1,5 +1,8 @@
-"""The listening socket. It takes in a few connections at a time, and none while there is no room: those wait in the
-kernel, where a server that accepts all would run out of descriptors."""
+"""The listening socket.
+
+It accepts a few connections at a time, and none while there is no capacity: those wait in the kernel, where a server
+that accepts all would run out of descriptors.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +19,7 @@
 MAX_SHORTAGES = 4  # calls of a turn that fail for want of descriptors or memory
 # Pauses while nothing can be taken in, each twice the last: a shortage of a moment costs little time, a lasting one
 # little work.
-MIN_AGAIN_S, AGAIN_S = 0.001, 0.01
+MIN_PAUSE_S, PAUSE_S = 0.001, 0.01
 LATE_PAUSES = 5  # at the end, once its time is over
 # Errors of one connection in the queue, by accept(2): the next call is for the next connection.
 CONNECTION_ERRORS = frozenset(
@@ -37,35 +40,53 @@
 
 
 class Queue(Enum):
+    """What is known of the connections that wait in the kernel."""
+
     EMPTY = "nobody waits in the kernel"
     MORE = "more may wait"
     NO_ROOM = "nobody can be taken in just now"
 
 
 class Listener:
+    """Accepts connections from the moment on that it is made.
+
+    Args:
+        address: where it listens. Raises OSError where that cannot be had.
+        backlog: how many the kernel keeps waiting.
+        protocol_factory: makes the protocol of each connection.
+        make_room: returns whether one more may be accepted.
+        log_warning: is given a text on each call of accept that failed.
+
+    Attributes:
+        behind: whether the queue was not emptied last time: who is accepted next may have waited.
+        waited: whether the connection for which `protocol_factory` is called may have waited so.
+        pause: until accept is called again, while nothing can be accepted.
+        pause_s: the next such pause.
+    """
+
     def __init__(
         self,
         address: Address,
         backlog: int,
-        made: Callable[[], asyncio.Protocol],
-        room: Callable[[], bool],
-        failed: Callable[[str], None],
+        protocol_factory: Callable[[], asyncio.Protocol],
+        make_room: Callable[[], bool],
+        log_warning: Callable[[str], None],
     ) -> None:
-        self.made, self.room, self.failed = made, room, failed
+        self.protocol_factory, self.make_room, self.log_warning = protocol_factory, make_room, log_warning
         self.backlog = backlog
         self.loop = asyncio.get_running_loop()
         # A second process of the same relay, an upgrade, listens at the same address while this one still serves.
         self.sock = socket.create_server(address, backlog=backlog, reuse_port=hasattr(socket, "SO_REUSEPORT"))
         self.sock.setblocking(False)
-        self.later: asyncio.TimerHandle | None = None
-        self.behind = False  # whether the queue was not emptied last time: who is taken in next may have waited
-        self.waited = False  # whether the connection for which `made` is called may have waited so
-        self.again_s = MIN_AGAIN_S
+        self.pause: asyncio.TimerHandle | None = None
+        self.behind = False
+        self.waited = False
+        self.pause_s = MIN_PAUSE_S
         self.tasks: set[asyncio.Task[object]] = set()
         self._listen()
 
     def _listen(self) -> None:
-        self.later = None
+        self.pause = None
         self.loop.add_reader(self.sock, self._ready)
 
     def _ready(self) -> None:
@@ -73,27 +94,27 @@
         self.behind = queue is not Queue.EMPTY
         if queue is Queue.NO_ROOM:
             self.loop.remove_reader(self.sock)
-            self.later = self.loop.call_later(self.again_s, self._listen)
+            self.pause = self.loop.call_later(self.pause_s, self._listen)
 
     def _accept(self, most: int) -> Queue:
         """Takes in what waits, with `most` calls; where all of them fail there is no room either: it must not spin."""
         tasks = len(self.tasks)
         queue = self._accept_batch(most)
         accepted = len(self.tasks) > tasks
-        self.again_s = MIN_AGAIN_S if accepted else min(2.0 * self.again_s, AGAIN_S)
+        self.pause_s = MIN_PAUSE_S if accepted else min(2.0 * self.pause_s, PAUSE_S)
         return Queue.NO_ROOM if queue is Queue.MORE and not accepted else queue
 
     def _accept_batch(self, most: int) -> Queue:
         shortages = 0
         for _ in range(most):
-            if not self.room():
+            if not self.make_room():
                 return Queue.NO_ROOM
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
                 return Queue.EMPTY
             except OSError as error:
-                self.failed(f"no connection can be taken in: {error}")
+                self.log_warning(f"no connection can be taken in: {error}")
                 shortages += error.errno not in CONNECTION_ERRORS
                 if shortages >= MAX_SHORTAGES:  # no descriptors or no memory: no reason to spin, nor to end
                     return Queue.NO_ROOM
@@ -107,10 +128,10 @@
     async def _take_in(self, sock: socket.socket, waited: bool) -> None:
         try:
             self.waited = waited
-            await self.loop.connect_accepted_socket(self.made, sock)  # it calls `made` at once
+            await self.loop.connect_accepted_socket(self.protocol_factory, sock)  # which it calls at once
         except OSError as error:
             sock.close()
-            self.failed(f"a connection was lost while it was taken in: {error}")
+            self.log_warning(f"a connection was lost while it was taken in: {error}")
 
     async def close(self, until: float) -> None:
         """Takes in what the kernel holds first: it has said yes to those, and a close would reset them.
@@ -118,8 +139,8 @@
         until: a time of the loop. After it `backlog` more are still taken in, as many as may have waited for a process
         that was held up, but room is hardly waited for any more.
         """
-        if self.later is not None:
-            self.later.cancel()
+        if self.pause is not None:
+            self.pause.cancel()
         self.loop.remove_reader(self.sock)
         late = {Queue.MORE: ceil(self.backlog / BATCH), Queue.NO_ROOM: LATE_PAUSES}
         while (queue := self._accept(BATCH)) is not Queue.EMPTY:
@@ -127,7 +148,7 @@
                 late[queue] -= 1
                 if late[queue] < 0:
                     break
-            await asyncio.sleep(self.again_s if queue is Queue.NO_ROOM else 0.0)
+            await asyncio.sleep(self.pause_s if queue is Queue.NO_ROOM else 0.0)
         self.sock.close()
         if self.tasks:
             await asyncio.wait(self.tasks)
--- a/yarrowspindle/transport/probe.py
+++ b/yarrowspindle/transport/probe.py
@@ -1,4 +1,4 @@
-"""One connection to an execute node on which its load is asked for, again and again."""
+"""One connection to a backend on which its load is asked for, again and again."""
 
 from __future__ import annotations
 
@@ -12,34 +12,45 @@
 class ProbeSink(Protocol):
     """What a connection for health checks reports to. Any call may end the connection."""
 
-    def health_check_answered(self, side: HealthCheckConnection, line: bytes) -> None: ...
-    def health_check_ended(self, side: HealthCheckConnection, ending: TerminationReason, why: str) -> None: ...
+    def health_check_answered(self, side: HealthCheckConnection, line: bytes) -> None:
+        """The answer to the question that was out."""
+
+    def health_check_ended(self, side: HealthCheckConnection, reason: TerminationReason, text: str) -> None:
+        """The connection is over, for this reason and with this text for the log; reported once."""
 
 
 class HealthCheckConnection(asyncio.Protocol):
-    """Reports to its sink and obeys it; one question is out at a time."""
+    """Reports to its sink and obeys it; one question is out at a time.
+
+    Attributes:
+        backend: the backend's name.
+        asked: whether an answer is awaited.
+        over: whether nothing more is reported.
+    """
 
     def __init__(self, sink: ProbeSink, backend: str) -> None:
         self.sink, self.backend = sink, backend
         self.transport: asyncio.Transport | None = None
         self.lines = Lines()
-        self.asked = False  # an answer is awaited
+        self.asked = False
         self.over = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Asks what is to be asked, unless the connection was given up while it came up."""
         self.transport = cast(asyncio.Transport, transport)
-        if self.over:  # given up while it came up
+        if self.over:
             self.transport.abort()
         elif self.asked:
             self.transport.write(STATS)
 
     def ask(self) -> None:
-        """Now, or as soon as the connection is up."""
+        """Asks now, or as soon as the connection is up."""
         self.asked = True
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(STATS)
 
     def data_received(self, data: bytes) -> None:
+        """Reports an answer; one that nobody asked for ends the connection."""
         if self.over:
             return
         try:
@@ -55,11 +66,13 @@
                 self.sink.health_check_answered(self, line)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the check."""
         self.end(TerminationReason.CONNECTION_RESET, "the connection ended")
 
-    def end(self, ending: TerminationReason, why: str) -> None:
+    def end(self, reason: TerminationReason, text: str) -> None:
+        """Closes the connection and reports why; without effect on one that is over."""
         if not self.over:
             self.over = True
             if self.transport is not None:
                 self.transport.abort()
-            self.sink.health_check_ended(self, ending, why)
+            self.sink.health_check_ended(self, reason, text)
