Look again at an idle socket where the look itself was held

Cause: between the look at an idle socket and its end the process can lose its processor, most easily as the call that looks returns; what comes meanwhile is ended over.

Change: a look that took over 0.1 ms is repeated, and nothing but the call that ends the sending stands behind it.

--- a/tests/transport/test_silence.py
+++ b/tests/transport/test_silence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import time
 from collections.abc import Callable, Coroutine
@@ -15,7 +16,6 @@
     LATE_S,
     SilenceTimer,
     end_sending_if_silent,
-    has_unread,
     sleep_reading,
     sockets_read,
 )
@@ -102,21 +102,28 @@
     loop: Callable[[], asyncio.AbstractEventLoop],
 ) -> None:
     async def body() -> None:
+        silent, silent_far = await connected()
+        assert end_sending_if_silent(silent.transport), "nothing has come"
         receiver, far = await connected()
-        assert not has_unread(receiver.transport)
         far.send(b"x")
-        assert has_unread(receiver.transport)
+        assert not end_sending_if_silent(receiver.transport)
         await sockets_read()
-        assert receiver.received == b"x" and not has_unread(receiver.transport)
+        assert receiver.received == b"x"
         far.send(b"y")
         time.sleep(0.01)
         await sleep_reading(0.001)
         assert receiver.received == b"xy"
         far.close()
-        assert has_unread(receiver.transport)
+        assert not end_sending_if_silent(receiver.transport), "its end is not read"
         await sockets_read()
         await asyncio.sleep(0.01)
-        assert not has_unread(receiver.transport) and not has_unread(None)
+        assert end_sending_if_silent(receiver.transport) and end_sending_if_silent(None), "it is closed"
+        read, read_far = await connected()
+        read_far.send(b"x")
+        await sockets_read()
+        assert read.received == b"x" and end_sending_if_silent(read.transport), "all that came is read"
+        silent_far.close()
+        read_far.close()
 
     run(loop, body())
 
@@ -139,6 +146,44 @@
     run(loop, body())
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_line_that_comes_while_the_look_at_the_socket_is_held_is_read(
+    loop: Callable[[], asyncio.AbstractEventLoop], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against ending a connection whose line came in a hold between the look at its socket and its end."""
+
+    async def body() -> None:
+        receiver, far = await connected()
+        looks: list[bool] = []
+
+        class HeldPoll:
+            """Its first look finds nothing, and returns 10 ms later."""
+
+            def __init__(self) -> None:
+                self.poll_object = poll()
+
+            def register(self, sock: socket.socket, events: int) -> None:
+                self.poll_object.register(sock, events)
+
+            def poll(self, timeout_ms: int) -> list[tuple[int, int]]:
+                found = self.poll_object.poll(timeout_ms)
+                looks.append(bool(found))
+                if len(looks) == 1:
+                    far.send(b"x")
+                    time.sleep(0.01)
+                return found
+
+        poll = select.poll
+        monkeypatch.setattr(select, "poll", HeldPoll)
+        assert not end_sending_if_silent(receiver.transport) and looks == [False, True]
+        monkeypatch.undo()
+        await sockets_read()
+        assert receiver.received == b"x"
+        far.close()
+
+    run(loop, body())
+
+
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("limit_s", (0.0, 0.0004))
 def test_a_limit_of_no_time_calls_back_too(loop: Callable[[], asyncio.AbstractEventLoop], limit_s: float) -> None:
--- a/yarrowspindle/transport/silence.py
+++ b/yarrowspindle/transport/silence.py
@@ -10,11 +10,13 @@
 import asyncio
 import select
 import socket
+import time
 from collections.abc import Callable
-from contextlib import suppress
 
 # The first turn may run before the loop polls again; the second runs after what that poll found was handled.
 TURNS_PER_POLL = 2
+MAX_LOOKS = 8  # at a socket before it is ended
+MAX_LOOK_S = 0.0001  # of a process that was not held meanwhile
 LATE_S = 0.05  # a timer that is so late: the loop stood still, and exchanges under way with it
 
 
@@ -30,35 +32,43 @@
     await sockets_read()
 
 
-def has_unread(transport: asyncio.BaseTransport | None) -> bool:
-    """Returns whether the kernel holds bytes, or an end, that were not read from the transport's socket."""
+def end_sending_if_silent(transport: asyncio.BaseTransport | None) -> bool:
+    """Ends our sending at once, unless the kernel holds what was not read of the peer; returns whether it is silent.
+
+    The event loop itself ends it in its next turn only, and what the peer sends until then would be lost unread.
+    """
     sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is None:
-        return False
-    poll = select.poll()
+        return True
     try:
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        same = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
     except (OSError, ValueError):  # it is closed just now
-        return False
+        return True
+    try:
+        if _look(same):
+            return False
+        same.shutdown(socket.SHUT_WR)
+    except OSError:  # it is closed just now
+        pass
+    finally:
+        same.detach()
+    return True
 
 
-def end_sending_if_silent(transport: asyncio.BaseTransport | None) -> bool:
-    """Ends our sending at once, unless the kernel holds what was not read of the peer; returns whether it is silent.
+def _look(sock: socket.socket) -> bool:
+    """Returns whether bytes, or an end, lie in the socket at this moment: what arrives before our end is never read.
 
-    The event loop itself ends it in its next turn only, and what the peer sends until then would be lost unread.
+    A process is held most easily as a call of the system returns; a look that took so long is repeated.
     """
-    if has_unread(transport):
-        return False
-    sock = transport.get_extra_info("socket") if transport is not None else None
-    if sock is not None:
-        with suppress(OSError):  # it is closed just now
-            same = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
-            try:
-                same.shutdown(socket.SHUT_WR)
-            finally:
-                same.detach()
-    return True
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    for _ in range(MAX_LOOKS):
+        began = time.monotonic()
+        if poll.poll(0):
+            return True
+        if time.monotonic() < began + MAX_LOOK_S:
+            break
+    return False
 
 
 class SilenceTimer:
