--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
 from collections.abc import Callable
 from math import inf
+from pathlib import Path
+from typing import Any, cast
 
 import pytest
 
+from benchmarks.soak.backends import Backend
+from benchmarks.soak.discovery import Discovery, Watch
 from benchmarks.soak.oracle import Attempt, Budget, Oracle, Request, Rule
 from benchmarks.soak.plan import TROUBLES, all_pairs, plan_of
 from benchmarks.soak.relays import failure_in
 from benchmarks.soak.shim import SOURCE, Field
+from benchmarks.soak.world import World
 from tests.stand_ins import ROOT
 
 BUDGET = Budget(3.0, 0.25, 2.0, 1.0, 20.0)
@@ -208,6 +214,37 @@
     assert found == ({rule} if rule else set())
 
 
+class LateWriter:
+    """A watch's writer that is held as it writes."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        self.world.started -= 1.0  # a second passes
+
+
+@pytest.mark.parametrize("phase, counts_after_s", (("ready", 0.0), ("draining", 1.0), ("gone", 1.0)))
+def test_a_backend_may_be_used_from_before_its_change_is_written_and_not_drained_until_it_is(
+    phase: str, counts_after_s: float, tmp_path: Path
+) -> None:
+    async def body() -> None:
+        world = World(plan_of(1, 10, 12.0, list(TROUBLES)), tmp_path, None)
+        backend = Backend(world, 1)
+        discovery = Discovery(world, [backend])
+        discovery.watches.add(Watch("r0.1", cast(Any, LateWriter(world))))
+        began = world.now()
+        discovery.change(backend, phase)
+        told = world.oracle.told["r0.1", backend.name]
+        for at, ready in (*told, *world.oracle.changes[backend.name]):
+            assert ready is (phase == "ready") and int(at - began) == counts_after_s
+
+    asyncio.run(body())
+
+
 def test_a_failure_in_a_log_is_reported_with_its_whole_traceback_and_the_lines_before() -> None:
     own = [f"10:00:00.{number:03d} DEBUG line {number}" for number in range(50)]
     traceback = [
