Send the soak's lines without delay, so that a second part does not wait for an ACK

Cause: clients on plain sockets had Nagle's algorithm on (the streams before had not). The second part of a line left only when the relay's end acknowledged the first: the line was not in the relay's socket when the call returned, and its end was taken for a violation.

Change: TCP_NODELAY.

--- a/benchmarks/soak/arrivals.py
+++ b/benchmarks/soak/arrivals.py
@@ -17,7 +17,10 @@
 
 
 def note_arrivals(sock: socket.socket) -> None:
-    """From here on `read_first_byte` knows when a byte arrived."""
+    """Lets `read_first_byte` know when a byte arrived.
+
+    The kernel begins to note times a little after the first socket on the machine asks for it, and ends with the last.
+    """
     sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
 
 
--- a/benchmarks/soak/connection.py
+++ b/benchmarks/soak/connection.py
@@ -24,6 +24,7 @@
         self.now, self.on_line = now, on_line
         self.sock = socket.socket()
         self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what is sent leaves at once
         note_arrivals(self.sock)
         self.rest = b""
         self.ended = self.closed = False
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -13,6 +14,7 @@
 from random import Random
 
 from benchmarks.soak import ending, shim
+from benchmarks.soak.arrivals import note_arrivals
 from benchmarks.soak.backends import Backend
 from benchmarks.soak.clients import Clients
 from benchmarks.soak.crowd import Crowd
@@ -89,6 +91,11 @@
         }
 
     async def run(self) -> Report:
+        with socket.socket() as noting:
+            note_arrivals(noting)  # while the relays start, so that it is in force for the first client
+            return await self._run()
+
+    async def _run(self) -> Report:
         world = self.world
         world.start(world.watch_lag())
         for backend in self.backends:
--- a/tests/benchmarks/test_soak_connection.py
+++ b/tests/benchmarks/test_soak_connection.py
@@ -5,12 +5,12 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from math import inf
 
 import pytest
 
-from benchmarks.soak.arrivals import CLOCK_TICK_S, data_age_s, end_age_s
+from benchmarks.soak.arrivals import CLOCK_TICK_S, data_age_s, end_age_s, note_arrivals, read_first_byte
 from benchmarks.soak.clients import PROMPT_S, Conversation
 from benchmarks.soak.connection import RESET_AT_CLOSE
 from benchmarks.soak.oracle import Request
@@ -41,6 +41,24 @@
     relay.close()
 
 
+@pytest.fixture
+def times_are_noted() -> Iterator[None]:
+    """The kernel notes when bytes arrive: it begins a little after the first socket asks for it."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        near = socket.create_connection(listening.getsockname())
+        far, _ = listening.accept()
+    note_arrivals(far)
+    for _ in range(100):
+        near.send(b"x")
+        time.sleep(0.02)
+        if read_first_byte(far)[1] > 0.01:
+            break
+    yield
+    near.close()
+    far.close()
+
+
+@pytest.mark.usefixtures("times_are_noted")
 def test_an_answer_has_the_time_of_its_arrival_however_late_it_is_read() -> None:
     async def body() -> None:
         made = conversation()
@@ -97,6 +115,23 @@
     asyncio.run(body())
 
 
+def test_the_second_part_of_a_line_is_there_at_once_though_the_first_is_not_acknowledged() -> None:
+    """Guards against Nagle's algorithm: a relay's end acknowledged the first part, and only then the second left."""
+
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        relay.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+        relay.setblocking(False)
+        made.connection.send(b"OPEN")
+        made.ask(b" 1\r\n")
+        assert relay.recv(100) == b"OPEN 1\r\n"
+        made.connection.close()
+        relay.close()
+
+    asyncio.run(body())
+
+
 def test_a_line_that_we_are_late_to_send_ourselves_is_one_on_a_rested_connection() -> None:
     async def body() -> None:
         made = conversation()
