Log at DEBUG which idle client is ended and why, and print it in the soak's report

Cause: a client that is ended without a request has no id, so the relay's log had no line on it.

Change: `idle client ADDRESS ended reason=REASON idle_ms=N`, with the three reasons as an enum; at INFO nothing is written. The soak's timeline has the client's address, and the relay's line on it. No check changes.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -123,7 +123,7 @@
         connection = conversation.connection
         if not await connection.open(relay.address, CONNECT_S):
             return
-        request.relay = relay.instance
+        request.relay, request.client = relay.instance, connection.address()
         self.asked += 1
         self.world.oracle.requests[request.name] = request
         relay.open[request] = connection
--- a/benchmarks/soak/connection.py
+++ b/benchmarks/soak/connection.py
@@ -43,6 +43,13 @@
         loop.add_reader(self.sock, self.read)
         return True
 
+    def address(self) -> str:
+        """Our own, as the relay's log has it; empty where the connection is gone."""
+        try:
+            return "{}:{}".format(*self.sock.getsockname())
+        except OSError:
+            return ""
+
     def send(self, data: bytes) -> None:
         """By one call of the system. Raises ConnectionError where the connection is gone."""
         if self.closed:
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -73,6 +73,7 @@
     rested: bool = False  # its connection had rested, whole or with a part of the line, before the last byte was sent
     crossed: bool = False  # and the relay's end of it was there when that byte was
     moved: bool = False
+    client: str = ""  # the client's own address
 
 
 @dataclass(slots=True, frozen=True)
@@ -308,7 +309,7 @@
         rows = [
             (
                 request.sent,
-                f"sent to {request.relay} class={request.cls} deadline {request.deadline_s:.3f} s"
+                f"sent to {request.relay} by {request.client} class={request.cls} deadline {request.deadline_s:.3f} s"
                 f"{' on a connection that had rested' if request.rested else ''}"
                 f"{', whose end was there' if request.crossed else ''}",
             ),
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -154,10 +154,12 @@
         return report
 
     def _add_log(self, name: str, report: Report) -> None:
-        """The relay's own lines on the request."""
-        path = self.world.folder / f"{self.world.oracle.requests[name].relay}.log"
+        """The relay's own lines on the request, and on its client where no request of it came."""
+        request = self.world.oracle.requests[name]
+        path, client = self.world.folder / f"{request.relay}.log", f"idle client {request.client} "
         if path.exists():
-            named = [line for line in path.read_text("utf-8", "replace").splitlines() if name in line]
+            log = path.read_text("utf-8", "replace").splitlines()
+            named = [line for line in log if name in line or client in line]
             report.timelines[name] += [f"log {line}" for line in named]
 
     # --- troubles ---------------------------------------------------------------------------------
--- a/yarrowspindle/fronts/connection_limiter.py
+++ b/yarrowspindle/fronts/connection_limiter.py
@@ -83,6 +83,11 @@
         self.without_request.pop(side, None)
         self.answered.pop(side, None)
 
+    def idle_s(self, side: LineConnection) -> float:
+        """Returns for how long the connection has had no request; 0 where it has one, or is not counted."""
+        now = self.clock()
+        return now - self.without_request.get(side, self.answered.get(side, now))
+
     def make_room(self) -> bool:
         """Returns whether one more may be accepted; closes an idle one where that is needed and possible."""
         while self._is_full():
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum, unique
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
@@ -40,6 +41,7 @@
 from yarrowspindle.transport.backend import BackendConnection
 from yarrowspindle.transport.client import ClientConnection
 from yarrowspindle.transport.connecting import ConnectFailure, Connecting, OwnNetwork
+from yarrowspindle.transport.line_connection import LineConnection
 from yarrowspindle.transport.listener import Listener
 from yarrowspindle.transport.silence import end_sending_if_silent, sockets_read
 from yarrowspindle.transport.tcp_info import last_data_age_ms
@@ -55,6 +57,15 @@
 LAST_TURNS = 4  # of the loop, to write the last lines and to read what crosses them, however late it is
 
 
+@unique
+class IdleEndReason(Enum):
+    """Why the relay ends a client's connection on which nothing is asked. The value is the name in the log."""
+
+    NO_FIRST_LINE = "no_first_line"
+    SHORT_OF_DESCRIPTORS = "short_of_descriptors"
+    SHUTDOWN = "shutdown"
+
+
 class LineFront:
     """The clients' address, and all connections that come of it.
 
@@ -73,7 +84,8 @@
     def __init__(self, service: RelayService, descriptors: int) -> None:
         self.service, self.config, self.runtime = service, service.config, service.runtime
         self.loop = asyncio.get_running_loop()
-        self.limiter = ConnectionLimiter(descriptors, self.loop.time, lambda side: end_sending_if_silent(side.alive))
+        self.limiter = ConnectionLimiter(descriptors, self.loop.time, self._end_to_make_room)
+        self.idle_end_reason = IdleEndReason.NO_FIRST_LINE  # why one would be ended that the limiter leaves alone
         self.log = RateLimitedLog(self.loop.time)
         self.network = OwnNetwork()
         self.clients: dict[int, ClientConnection] = {}
@@ -125,6 +137,7 @@
 
     async def _end_silent_clients(self) -> None:
         """Reads what lies in the sockets, and ends in order whoever has sent no whole first line by then."""
+        self.idle_end_reason = IdleEndReason.SHUTDOWN
         for turn in range(MAX_FIRST_LINE_TURNS):
             await sockets_read()
             silent = [side for side in self.limiter.without_request if isinstance(side, ClientConnection)]
@@ -223,8 +236,21 @@
 
     def idle_client_closed(self, side: ClientConnection) -> None:
         """Counts the connection as answered."""
+        self._log_idle_end(side, self.idle_end_reason)
         self.limiter.on_answered(side)
 
+    def _end_to_make_room(self, side: LineConnection) -> bool:
+        """Ends our sending, unless bytes of the client lie unread; returns whether it is silent."""
+        if not end_sending_if_silent(side.alive):
+            return False
+        self._log_idle_end(side, IdleEndReason.SHORT_OF_DESCRIPTORS)
+        return True
+
+    def _log_idle_end(self, side: LineConnection, reason: IdleEndReason) -> None:
+        """There is no request to trace it by: the client's address names it."""
+        idle_ms = 1000.0 * self.limiter.idle_s(side)
+        logger.debug("idle client {} ended reason={} idle_ms={:.0f}", side.peer_address, reason.value, idle_ms)
+
     def log_warning(self, text: str) -> None:
         """Logs what clients or backends can cause, in bounds."""
         self.log.warn(text)
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -56,6 +56,12 @@
         """The transport, while it can still be used: uvloop raises where asyncio's own passes over it."""
         return self.transport if self.transport is not None and not self.transport.is_closing() else None
 
+    @property
+    def peer_address(self) -> str:
+        """As `host:port`; empty where the transport is gone or has none."""
+        address = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return "{}:{}".format(*address[:2]) if isinstance(address, tuple) else ""
+
     def write(self, data: bytes) -> None:
         """Sends bytes, unless our sending has ended."""
         transport = self.alive
