Ignore signals once the event loop is closed, so that the exit status stays 0

Cause: the interpreter, as it ends, restores the default action of the signals that Python handles; for some milliseconds a signal then ends the process.

Change: relays and controllers ignore SIGHUP, SIGTERM and SIGINT after the loop. It works since an ignored signal stays ignored; until then uvloop's handlers stand.

--- a/tests/daemon/test_starts_and_ends.py
+++ b/tests/daemon/test_starts_and_ends.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import os
+import signal
 import socket
 import sys
 from collections.abc import Mapping
@@ -86,6 +87,53 @@
         return {}
 
 
+# Starts the program with a module that sends its own process a signal at a step of the interpreter's end.
+SIGNALLED_AT_ITS_END = """
+import os, signal, sys
+from types import ModuleType
+
+def signalled(number=int(sys.argv[1]), pid=os.getpid(), kill=os.kill):
+    kill(pid, number)
+
+class Last:
+    def __del__(self, signalled=signalled):
+        signalled()
+
+if sys.argv[2] == "exit handlers":
+    import atexit
+    atexit.register(signalled)
+else:
+    sys.modules["last"] = last = ModuleType("last")
+    last.last = Last()
+
+from yarrowspindle.daemon.main import main
+sys.argv[1:] = []
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize("number", (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+@pytest.mark.parametrize("step", ("exit handlers", "modules"))
+def test_a_signal_at_the_interpreters_end_takes_no_process_its_exit_status(
+    tmp_path: Path, number: signal.Signals, step: str
+) -> None:
+    """Guards against the default actions that the interpreter restores as it ends: -1 in place of 0."""
+
+    async def body() -> None:
+        (tmp_path / "config.json").write_text(json.dumps(config([Backend()])))
+        env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        command = [sys.executable, "-B", "-c", SIGNALLED_AT_ITS_END, str(int(number)), step]
+        process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+        assert process.stderr is not None
+        while b"serves at" not in (line := await asyncio.wait_for(process.stderr.readline(), WAIT_S)):
+            assert line, "it has ended"
+        process.terminate()
+        _, log = await asyncio.wait_for(process.communicate(), WAIT_S)
+        assert process.returncode == 0 and b"stopped: " in log and b"Traceback" not in log
+
+    asyncio.run(body())
+
+
 def test_reports_go_on_after_one_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
     """No descriptor at the start, a source that raises, a way that is gone for a moment: one report each."""
 
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -7,7 +7,7 @@
 import gc
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
@@ -32,6 +32,7 @@
 T = TypeVar("T")
 
 EXIT_CONFIG_ERROR = 2
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 MAX_START_S = 9.0  # a relay has to be ready within 10 s of its start
 START_RETRY_S = 0.05
 # Errors of the system that may pass: an address that the process before still holds, or a shortage.
@@ -194,6 +195,19 @@
     await RelayProcess(config, operator).run()
 
 
+def run_until_shutdown(serving: Coroutine[None, None, None]) -> None:
+    """Runs a process's event loop, and ignores the signals that were handled there from then on.
+
+    The interpreter, as it ends, restores the default action of signals that Python handles: one that comes so late
+    would end the process, whose exit status would be lost. A signal that is ignored stays so.
+    """
+    try:
+        uvloop.run(serving)
+    finally:
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> int:
     """Runs a relay, or the controller that the operator's file names. Returns the process's exit status."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be handled; the file is about to be read anyway
@@ -205,11 +219,11 @@
             from yarrowspindle.daemon import controller
 
             controller.check_sections(operator)
-            uvloop.run(controller.serve(operator.control, operator))
+            run_until_shutdown(controller.serve(operator.control, operator))
             return 0
         config = load_config()
     except (ConfigError, ValueError) as error:
         logger.error("{}", error)
         return EXIT_CONFIG_ERROR
-    uvloop.run(serve(config, operator))
+    run_until_shutdown(serve(config, operator))
     return 0
