Count a connection in the soak as rested from its coming up, not from its being seen

Cause: a late soak saw a connection up long after it stood and sent its line at once; it counted as a prompt one's, and the relay's end of a connection that had been silent for 67 to 181 ms as a violation.

Change: the kernel tells when the connection came up, the line left and the end came.

--- a/benchmarks/soak/arrivals.py
+++ b/benchmarks/soak/arrivals.py
@@ -1,4 +1,4 @@
-"""When the peer's bytes or end arrived in this machine's kernel, however late this process is to read them."""
+"""When the peer's bytes or end arrived in this machine's kernel, and when ours left, however late this process is."""
 
 from __future__ import annotations
 
@@ -9,11 +9,13 @@
 SO_TIMESTAMPNS = 35  # of asm-generic/socket.h: the kernel notes the wall clock's time of what arrives
 TIMESPEC = struct.Struct("@qq")
 ANCILLARY_BYTES = 128
-# Of struct tcp_info in linux/tcp.h: milliseconds since the newest data, and the newest segment of any kind, came.
+# Of struct tcp_info in linux/tcp.h: milliseconds since the newest data left, or the connection came up where none has
+# left; since the newest data came; since the newest segment of any kind came.
+LAST_DATA_SENT_OFFSET = 44
 LAST_DATA_RECEIVED_OFFSET, LAST_ACK_RECEIVED_OFFSET = 52, 56
 MILLISECONDS = struct.Struct("@I")
 TCP_INFO_BYTES = LAST_ACK_RECEIVED_OFFSET + MILLISECONDS.size
-CLOCK_TICK_S = 0.01  # at the most, of the kernel's clock behind these two
+CLOCK_TICK_S = 0.01  # at the most, of the kernel's clock behind these
 
 
 def note_arrivals(sock: socket.socket) -> None:
@@ -39,12 +41,21 @@
 
     So what is read as it arrives keeps the order in which it is read.
     """
-    return _age_s(sock, LAST_DATA_RECEIVED_OFFSET)
+    return _over_a_tick(_age_s(sock, LAST_DATA_RECEIVED_OFFSET))
 
 
 def end_age_s(sock: socket.socket | None) -> float:
     """The same of the peer's end, where nothing was sent since it came."""
-    return _age_s(sock, LAST_ACK_RECEIVED_OFFSET)
+    return _over_a_tick(_age_s(sock, LAST_ACK_RECEIVED_OFFSET))
+
+
+def last_sent_age_s(sock: socket.socket) -> float:
+    """How long ago our newest data left, or the connection came up where none has left; to a tick of the kernel."""
+    return _age_s(sock, LAST_DATA_SENT_OFFSET)
+
+
+def _over_a_tick(age_s: float) -> float:
+    return age_s if age_s > CLOCK_TICK_S else 0.0
 
 
 def _age_s(sock: socket.socket | None, offset: int) -> float:
@@ -56,5 +67,4 @@
         return 0.0
     if len(info) < TCP_INFO_BYTES:
         return 0.0
-    age_s = int(MILLISECONDS.unpack_from(info, offset)[0]) / 1000.0
-    return age_s if age_s > CLOCK_TICK_S else 0.0
+    return int(MILLISECONDS.unpack_from(info, offset)[0]) / 1000.0
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -25,7 +25,7 @@
 CONNECT_S = 3.0
 SPEAK_S = 0.15  # between two lines of a client whose connection stands
 SECOND_ANSWER_S = 0.3  # for so long after its answer a client would hear another
-PROMPT_S = 0.02  # a line that comes later on its connection than this is a rested one's, however late we are ourselves
+PROMPT_S = 0.02  # a connection that has stood for longer without a line has rested, however late we are ourselves
 NONSENSE = (
     b"\x00" * 200,
     b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -50,13 +50,17 @@
         """Sends the last part of the first line, and looks at once whether the relay had ended a rested connection.
 
         On loopback the line is in the relay's socket when the call returns. So an end that is not there by then comes
-        from a relay that could have read the line, whatever time passes until it is seen.
+        from a relay that could have read the line, whatever time passes until it is seen. How long the connection had
+        rested, until the line or until the end before it, the kernel tells.
         """
         request, connection = self.request, self.connection
-        request.rested = request.rested or self.now() > connection.connected_at + PROMPT_S
-        connection.send(last)
-        request.crossed = request.rested and connection.end_is_there(instant=True)
-        request.sent = self.now()
+        ended_at = connection.ended_at()
+        request.sent = connection.send(last)
+        if connection.end_is_there(instant=True):
+            ended_at = min(ended_at, request.sent)
+        rested_until = min(request.sent, ended_at)
+        request.rested = request.rested or rested_until > connection.connected_at + PROMPT_S
+        request.crossed = request.rested and ended_at <= request.sent
 
     def _on_line(self, line: bytes, at: float) -> None:
         request = self.request
--- a/benchmarks/soak/connection.py
+++ b/benchmarks/soak/connection.py
@@ -8,17 +8,23 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 
-from benchmarks.soak.arrivals import note_arrivals, read_first_byte
+from benchmarks.soak.arrivals import CLOCK_TICK_S, end_age_s, last_sent_age_s, note_arrivals, read_first_byte
 
 READ_BYTES = 1 << 16
 INSTANT_MS = 1  # between a relay's last look at a socket and its end of it
-ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+RESETS = select.POLLHUP | select.POLLERR
+ENDS = select.POLLRDHUP | RESETS
 RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # SO_LINGER with no time
 
 
 class Connection:
-    """Reports each line with the seconds of `now` at which it arrived, and at last b"" when the end was read."""
+    """Reports each line with the seconds of `now` at which it arrived, and at last b"" when the end was read.
+
+    Attributes:
+        connected_at: when it came up, by the kernel.
+    """
 
     def __init__(self, now: Callable[[], float], on_line: Callable[[bytes, float], None]) -> None:
         self.now, self.on_line = now, on_line
@@ -33,13 +39,13 @@
 
     async def open(self, address: tuple[str, int], within_s: float) -> bool:
         """Connects; whether it came up."""
-        loop = asyncio.get_running_loop()
+        loop, called_at = asyncio.get_running_loop(), self.now()
         try:
             await asyncio.wait_for(loop.sock_connect(self.sock, address), within_s)
         except (OSError, TimeoutError):
             self.close()
             return False
-        self.connected_at = self.now()
+        self.connected_at = max(called_at, self._before_now(last_sent_age_s))
         loop.add_reader(self.sock, self.read)
         return True
 
@@ -50,19 +56,40 @@
         except OSError:
             return ""
 
-    def send(self, data: bytes) -> None:
-        """By one call of the system. Raises ConnectionError where the connection is gone."""
+    def send(self, data: bytes) -> float:
+        """By one call of the system; returns when it left. Raises ConnectionError where the connection is gone."""
         if self.closed:
             raise ConnectionResetError
+        called_at = self.now()
         self.sock.send(data)
+        return max(called_at, self._before_now(last_sent_age_s))
 
     def end_is_there(self, instant: bool = False) -> bool:
         """Whether the peer's end has arrived, read or not. instant: or arrives within INSTANT_MS."""
-        if self.ended or self.closed:
-            return True
+        return self.ended or self.closed or bool(self._ends(INSTANT_MS if instant else 0))
+
+    def ended_at(self) -> float:
+        """When the peer's end arrived, by the kernel, where nothing was sent since; inf: it has not.
+
+        The kernel keeps no time of a reset, which counts as one of this moment.
+        """
+        if not self.end_is_there():
+            return inf
+        return self.now() if self._ends(0) & RESETS else self._before_now(end_age_s)
+
+    def _ends(self, within_ms: int) -> int:
+        """The events of ENDS that poll(2) finds."""
         poll = select.poll()
         poll.register(self.sock, ENDS)
-        return bool(poll.poll(INSTANT_MS if instant else 0))
+        return sum(events for _, events in poll.poll(within_ms))
+
+    def _before_now(self, age_s: Callable[[socket.socket], float]) -> float:
+        """The moment of which the kernel tells the age. A reading in which this process was held is repeated."""
+        while True:
+            now = self.now()
+            at = now - age_s(self.sock)
+            if self.now() < now + CLOCK_TICK_S:
+                return at
 
     def read(self) -> None:
         """Reads all that has arrived."""
--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -9,6 +9,7 @@
 import asyncio
 import sys
 from collections.abc import Callable
+from itertools import count
 from math import inf
 from typing import Any
 
@@ -139,6 +140,18 @@
     client.ClientConnection.end_if_silent = end_if_silent  # type: ignore[method-assign]
 
 
+def end_newcomers() -> None:
+    """One connection in ten is ended as it comes, whatever its client is about to send."""
+    real, numbers = client.ClientConnection.connection_made, count(1)
+
+    def connection_made(self: client.ClientConnection, transport: asyncio.BaseTransport) -> None:
+        real(self, transport)
+        if next(numbers) % 10 == 0:
+            self.end_if_silent(although_unread=True)
+
+    client.ClientConnection.connection_made = connection_made  # type: ignore[method-assign]
+
+
 def end_at_once() -> None:
     """At SIGTERM the process ends without a word to anybody."""
     line_front.LineFront.end = lambda self, until: asyncio.sleep(0)  # type: ignore[method-assign]
@@ -171,6 +184,7 @@
         flood_cold_servers,
         late_connections,
         end_without_looking,
+        end_newcomers,
         end_at_once,
         answer_late,
     )
--- a/tests/benchmarks/test_soak_connection.py
+++ b/tests/benchmarks/test_soak_connection.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterator
 from math import inf
+from typing import Any, cast
 
 import pytest
 
@@ -15,7 +16,7 @@
 from benchmarks.soak.connection import RESET_AT_CLOSE
 from benchmarks.soak.oracle import Request
 
-HELD_S = 0.2
+HELD_S, WAIT_S = 0.2, 10.0
 CLOCKS_S = HELD_S / 2.0  # by which the two clocks may be read apart on a busy machine
 
 
@@ -145,6 +146,121 @@
     asyncio.run(body())
 
 
+async def connected_and_seen_late(
+    made: Conversation, ended_after_s: float, end: Callable[[socket.socket], None]
+) -> None:
+    """It comes up; this process is held from then on until long after the relay, so long after that, has ended it."""
+
+    def hold() -> None:
+        relay, _ = listening.accept()
+        time.sleep(ended_after_s)
+        end(relay)
+        relays.append(relay)  # open until the test is over
+        time.sleep(HELD_S)
+
+    loop, relays = asyncio.get_running_loop(), list[socket.socket]()
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        loop.call_soon(loop.call_soon, hold)  # in the turn after the one that makes the system's call
+        assert await made.connection.open(listening.getsockname(), 1.0)
+    assert relays and not made.connection.ended, "it was held in between"
+
+
+@pytest.mark.parametrize("end", (shut, socket.socket.close))
+def test_a_connection_has_rested_from_its_coming_up_on_however_late_that_is_seen(
+    end: Callable[[socket.socket], None],
+) -> None:
+    """Guards against counting from the moment of noticing: the relay had ended it for its silence long before."""
+
+    async def body() -> None:
+        made = conversation()
+        called_at = time.monotonic()
+        await connected_and_seen_late(made, 2.0 * PROMPT_S, end)
+        assert called_at <= made.connection.connected_at <= called_at + HELD_S / 2.0
+        made.ask(b"OPEN\r\n")
+        assert made.request.rested and made.request.crossed
+        made.connection.close()
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("end", (shut, socket.socket.close))
+def test_a_relay_that_ends_a_connection_before_it_has_rested_is_found_however_late_the_line_is(
+    end: Callable[[socket.socket], None],
+) -> None:
+    async def body() -> None:
+        made = conversation()
+        await connected_and_seen_late(made, 0.0, end)
+        made.ask(b"OPEN\r\n")
+        assert not made.request.rested and not made.request.crossed
+        made.connection.close()
+
+    asyncio.run(body())
+
+
+def test_a_connection_for_which_the_queue_had_no_room_has_not_rested_before_it_came_up() -> None:
+    async def body() -> None:
+        made = conversation()
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listening:
+            filling = socket.create_connection(listening.getsockname())
+            opening = asyncio.ensure_future(made.connection.open(listening.getsockname(), WAIT_S))
+            await asyncio.sleep(HELD_S)
+            first, _ = listening.accept()
+            assert not opening.done() and await opening
+            since = time.monotonic()
+            relay, _ = listening.accept()
+            assert since - made.connection.connected_at < HELD_S
+        for sock in (filling, first, relay):
+            sock.close()
+        made.connection.close()
+
+    asyncio.run(body())
+
+
+class HeldSocket:
+    """A client's socket; this process is held before the system's call that sends, or after it."""
+
+    def __init__(self, sock: socket.socket, before: Callable[[], None], after: Callable[[], None]) -> None:
+        self.sock, self.before, self.after = sock, before, after
+
+    def send(self, data: bytes) -> int:
+        self.before()
+        sent = self.sock.send(data)
+        self.after()
+        return sent
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+def hold() -> None:
+    time.sleep(HELD_S)
+
+
+def go_on() -> None:
+    pass
+
+
+@pytest.mark.parametrize(("before", "after"), ((hold, go_on), (go_on, hold)))
+def test_a_line_has_left_when_the_system_sent_it_whenever_this_process_is_held(
+    before: Callable[[], None], after: Callable[[], None]
+) -> None:
+    """Guards against a line counted as prompt, or as late, by the time at which this process did the next step."""
+
+    async def body() -> None:
+        made = conversation()
+        relay = await connected(made)
+        called_at = time.monotonic()
+        made.connection.sock = cast(Any, HeldSocket(made.connection.sock, before, after))
+        made.ask(b"OPEN\r\n")
+        left_s = made.request.sent - called_at
+        assert left_s >= HELD_S - CLOCK_TICK_S if before is hold else 0.0 <= left_s < HELD_S / 2.0
+        assert made.request.rested is (before is hold) and not made.request.crossed
+        made.connection.close()
+        relay.close()
+
+    asyncio.run(body())
+
+
 def check_age(age_s: Callable[[socket.socket | None], float], sock: socket.socket, since: float) -> None:
     """Of what arrived at this moment of time.monotonic, and again after a while."""
     assert age_s(sock) == 0.0 or time.monotonic() > since + CLOCK_TICK_S
