Count a request in the soak as its process's that took the connection

What was seen: found while looking for other moments of noticing: a request was counted as that of the relay's process that ran when its connection was seen up, not when it came up.

Cause: `request.relay` was read after the connect; a late soak charges the process that was started meanwhile with connections that died with the one before it.

Change: the process that had started by the kernel's time of the connection. No check changes.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -127,7 +127,7 @@
         connection = conversation.connection
         if not await connection.open(relay.address, CONNECT_S):
             return
-        request.relay, request.client = relay.instance, connection.address()
+        request.relay, request.client = relay.instance_at(connection.connected_at), connection.address()
         self.asked += 1
         self.world.oracle.requests[request.name] = request
         relay.open[request] = connection
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -10,6 +10,7 @@
 import sys
 import time
 import tomllib
+from bisect import bisect_right
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -58,6 +59,7 @@
     def __init__(self, world: World, number: int, discovery: Discovery, planted: str) -> None:
         self.world, self.number, self.discovery, self.planted = world, number, discovery, planted
         self.name, self.life = f"r{number}", 0
+        self.started_at: list[float] = []  # each life, in order
         self.address = world.port(number % 90)
         self.discoveries = [world.port(number % 90) for _ in range(2)]
         self.at = 0  # which of them the configuration names
@@ -78,6 +80,10 @@
     def instance(self) -> str:
         return f"{self.name}.{self.life}"
 
+    def instance_at(self, at: float) -> str:
+        """The process that listened at this time, though it may have ended since."""
+        return f"{self.name}.{max(1, bisect_right(self.started_at, at))}"
+
     def takes(self, now: float, follow_s: float) -> bool:
         """Whether the front sends connections here."""
         return self.serves and (not self.ending or now < self.told_to_end + follow_s)
@@ -106,6 +112,7 @@
 
     async def start(self) -> None:
         self.life += 1
+        self.started_at.append(self.world.now() if self.life > 1 else 0.0)
         self.ending = False
         for address in self.discoveries:
             await self.discovery.open(address, self.instance)
