Make protocol whole for its readers

Cause: names of the earlier house style (held, told, said, machines, LONGEST), 37 public parts without a doc comment, and linter rules switched off for the package.

Wire, settings and behaviour are unchanged; tests change in the names of two constants alone.

--- a/tests/protocol/test_protocol.py
+++ b/tests/protocol/test_protocol.py
@@ -96,7 +96,9 @@
     assert refused or (opened == parse_open(LINE.encode()) and answers == b"PONG\r\nNO\r\n" * probes)
 
 
-@pytest.mark.parametrize("bad", [b"x" * lines.LONGEST, b"x" * lines.LONGEST + b"\r\n", b"PING\n", b"\r\n", b"\0\r\n"])
+@pytest.mark.parametrize(
+    "bad", [b"x" * lines.MAX_LINE_BYTES, b"x" * lines.MAX_LINE_BYTES + b"\r\n", b"PING\n", b"\r\n", b"\0\r\n"]
+)
 def test_an_opening_that_is_too_long_or_ends_oddly_is_refused_at_once(bad: bytes) -> None:
     with pytest.raises(LineError):
         Opening().feed(bad)
@@ -116,7 +118,7 @@
     assert [load_of(b) for b in (b"LOAD 2.5", b"LOAD", b"LOAD x", b"LOAD -1", b"LOAD nan")] == [2.5] + 4 * [None]
     assert rejection_line(0.0) == b"BUSY\r\n" and rejection_line(1499.6) == b"BUSY 1500\r\n"
     with pytest.raises(LineError):
-        Lines().feed(b"x" * (lines.LONGEST + 1))
+        Lines().feed(b"x" * (lines.MAX_LINE_BYTES + 1))
 
 
 @settings(derandomize=True, max_examples=30)
@@ -195,7 +197,7 @@
 def test_collectd_packets_hold_all_values_in_parts_and_stay_small() -> None:
     counters = {f"c{i}": i for i in range(100)}
     made = list(collectd.packets("n0", counters, {"g": 2.5}, 10.5, 10.0))
-    assert len(made) > 1 and max(map(len, made)) <= collectd.LARGEST
+    assert len(made) > 1 and max(map(len, made)) <= collectd.MAX_PACKET_BYTES
     assert all(parts(p)[0] == (0, b"n0\0") and parts(p)[1] == (8, struct.pack(">Q", 21 << 29)) for p in made)
     values = [body for p in made for kind, body in parts(p) if kind == collectd.VALUES]
     assert values[7] == b"\0\1\2" + (7).to_bytes(8, "big") and values[-1] == b"\0\1\1" + struct.pack("<d", 2.5)
--- a/yarrowspindle/protocol/endpoint_list.py
+++ b/yarrowspindle/protocol/endpoint_list.py
@@ -1,10 +1,11 @@
-"""The machine list: the request for a watch, and its answer as it streams in."""
+"""The endpoint list: the request for a watch, and its answer as it streams in."""
 
 from __future__ import annotations
 
 import json
 import re
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import httptools
 
@@ -13,14 +14,14 @@
 from yarrowspindle.routing.events import Endpoint, EndpointsUpdated
 
 STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.GONE}
-LONGEST = 4 << 20
+MAX_LIST_BYTES = 4 << 20  # of one object, indented or not
 MAX_PORT, MAX_CELL, MAX_SIZE = 65_535, 1e9, 1e9
 MAX_TIME_MS = 1e14  # of a Unix time: the year 5138
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class ListError(Exception):
-    """An answer that the machine list should not have given."""
+    """An answer that discovery should not have given."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,10 +33,12 @@
 
 
 def place(names: list[str], name: object) -> int:
+    """Returns the position of the name; 0 where the settings do not have it."""
     return names.index(name) if isinstance(name, str) and name in names else 0
 
 
 def parse_address(text: str) -> Address:
+    """Reads `host:port`. Raises ListError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         raise ListError(f"not an address: {text!r}")
@@ -43,13 +46,14 @@
 
 
 def parse_name(value: object) -> str:
+    """Returns a name, which is not empty. Raises ListError."""
     if not isinstance(value, str) or not value:
         raise ListError(f"not a name: {value!r}")
     return value
 
 
 def parse_figure(value: object, default: float, most: float) -> float:
-    """A number from 0 up to `most`; the default where it is absent or 0."""
+    """Returns a number from 0 up to `most`; the default where it is absent or 0. Raises ListError."""
     if value is None:
         return default
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value <= most:
@@ -58,10 +62,14 @@
 
 
 def parse_list(data: object, names: Names, kind: ListKind | None = None) -> EndpointsUpdated:
+    """Reads a list in discovery's form. Raises ListError.
+
+    kind: None where the list itself says whether it is the whole.
+    """
     if not isinstance(data, dict) or not isinstance(data.get("members"), list):
         raise ListError("a list without members")
     try:
-        machines = [
+        endpoints = [
             Endpoint(
                 name=parse_name(m["id"]),
                 address=parse_address(m["host_port"]),
@@ -79,43 +87,56 @@
         raise ListError(f"a member that makes no sense: {error!r}") from error
     if kind is None:
         kind = ListKind.FULL if data.get("complete") else ListKind.DELTA
-    return EndpointsUpdated(kind, machines, version)
+    return EndpointsUpdated(kind, endpoints, version)
 
 
 def watch_request(host: str, version: int) -> bytes:
+    """Returns the call that opens a watch, from the version on that is known."""
     return (
         f"GET /api/targets?stream=1&index={version} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
     ).encode()
 
 
 class WatchAnswer:
-    """The answer to a watch, piece by piece; each piece gives the lists that it completes."""
+    """The answer to a watch, piece by piece; each piece gives the lists that it completes.
+
+    Attributes:
+        rest: what has come of a line that is not whole yet.
+        object_lines: of an object that goes on, where lists come indented.
+        depth: how many brackets of that object are open.
+        size: its bytes so far.
+        completed: lists that were read and not yet returned.
+        ended: whether the answer is over.
+    """
 
     def __init__(self, names: Names) -> None:
         self.names = names
         self.parser = httptools.HttpResponseParser(self)
         self.rest = b""
-        self.held: list[bytes] = []  # lines of an object that goes on, where lists come indented
+        self.object_lines: list[bytes] = []
         self.depth = self.size = 0
-        self.told: list[EndpointsUpdated] = []
+        self.completed: list[EndpointsUpdated] = []
         self.ended = False
 
     def feed(self, data: bytes) -> list[EndpointsUpdated]:
+        """Returns the lists that these bytes complete. Raises ListError."""
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:  # what a callback raised comes wrapped
-            said = error.__context__
-            raise (said if isinstance(said, ListError) else ListError(f"not HTTP: {error}")) from error
-        told, self.told = self.told, []
-        return told
+            cause = error.__context__
+            raise (cause if isinstance(cause, ListError) else ListError(f"not HTTP: {error}")) from error
+        completed, self.completed = self.completed, []
+        return completed
 
     def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() != 200:
+        """Of the parser: the head has come. Raises ListError unless the call succeeded."""
+        if self.parser.get_status_code() != HTTPStatus.OK:
             raise ListError(f"status {self.parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
+        """Of the parser: a piece of the body has come. Raises ListError."""
         *lines, self.rest = (self.rest + body).split(b"\n")
-        if self.size + len(self.rest) > LONGEST:
+        if self.size + len(self.rest) > MAX_LIST_BYTES:
             raise ListError("a list that is too long")
         for line in lines:
             if line.strip():
@@ -125,16 +146,17 @@
         """An object ends with the line that closes its last bracket; a string holds no line break."""
         bare = STRING.sub(b"", line)
         self.depth += sum(bare.count(c) for c in (b"{", b"[")) - sum(bare.count(c) for c in (b"}", b"]"))
-        self.held.append(line)
+        self.object_lines.append(line)
         self.size += len(line)
-        if self.depth > 0 and self.size <= LONGEST:
+        if self.depth > 0 and self.size <= MAX_LIST_BYTES:
             return
-        whole, self.held, self.depth, self.size = b"\n".join(self.held), [], 0, 0
+        whole, self.object_lines, self.depth, self.size = b"\n".join(self.object_lines), [], 0, 0
         try:
             data = json.loads(whole)
         except (ValueError, RecursionError) as error:
             raise ListError("a list that is not JSON") from error
-        self.told.append(parse_list(data, self.names))
+        self.completed.append(parse_list(data, self.names))
 
     def on_message_complete(self) -> None:
+        """Of the parser: the answer is over."""
         self.ended = True
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -1,4 +1,4 @@
-"""The platform's lines: the OPEN line that a submitter sends, and what an execute node sends back."""
+"""The platform's lines: the OPEN line that a client sends, and what a backend sends back."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-LONGEST = 4096
+MAX_LINE_BYTES = 4096
 END = b"\r\n"
 PING, PONG, MOVE, FAILED, NO = b"PING\r\n", b"PONG\r\n", b"MOVE\r\n", b"ERR\r\n", b"NO\r\n"
 PROBES = {b"PING": PONG, b"STATS": NO}  # what a connection may ask before its OPEN line
@@ -17,6 +17,8 @@
 PAIR = re.compile(r"([a-z][a-z0-9_]{0,31})=([!-+\--<>-~]+)")
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 HEXADECIMAL = re.compile(r"[0-9a-f]{1,16}")
+MIN_RETRY_AFTER_MS = 0.5  # what rounds to no millisecond is not told
+MAX_LOAD = 1e12  # of a LOAD line: microseconds of work a second, or milliseconds
 
 
 class LineError(Exception):
@@ -25,26 +27,38 @@
 
 @dataclass(slots=True, frozen=True)
 class Open:
+    """A client's request as its first line has it.
+
+    Attributes:
+        id: the client's name for the request, 16 hexadecimal digits.
+        flow: its key, in the same form.
+        pairs: names and values, in the order in which they came.
+    """
+
     id: str
     flow: str
-    pairs: dict[str, str]  # in the order in which they came
+    pairs: dict[str, str]
 
     def get(self, name: str, default: str = "") -> str:
+        """Returns the value of a name as it came."""
         return self.pairs.get(name, default)
 
     def number(self, name: str) -> float:
+        """Returns the value as a number; 0 where the name did not come. Raises LineError."""
         value = self.get(name, "0")
         if not FIGURE.fullmatch(value):
             raise LineError(f"{name} is not a figure")
         return float(value)
 
     def flag(self, name: str) -> bool:
+        """Returns the value as a truth value; False where the name did not come. Raises LineError."""
         value = self.get(name, "0")
         if value not in ("0", "1"):
             raise LineError(f"{name} is neither 0 nor 1")
         return value == "1"
 
     def hexadecimal(self, name: str) -> int:
+        """Returns the value of hexadecimal digits; 0 where the name did not come. Raises LineError."""
         value = self.get(name, "0")
         if not HEXADECIMAL.fullmatch(value):
             raise LineError(f"{name} is not hexadecimal")
@@ -52,16 +66,18 @@
 
     @property
     def key(self) -> int:
+        """The number that its key stands for."""
         return int(self.flow, 16)
 
     def forward(self, left_ms: float) -> bytes:
-        """The line as it goes on: all as it came, but for the time that is left."""
+        """Returns the line as it goes on: all as it came, but for the time that is left."""
         left = str(max(1, int(left_ms)))
         listed = ",".join(f"{name}={left if name == 'd' else value}" for name, value in self.pairs.items())
         return f"OPEN {self.id} {self.flow} {listed}".encode() + END
 
 
 def parse_open(line: bytes) -> Open:
+    """Reads an OPEN line without its end. Raises LineError."""
     try:
         match = OPEN_LINE.fullmatch(line.decode("ascii"))
     except UnicodeDecodeError:
@@ -83,9 +99,10 @@
 
 
 class Opening:
-    """What a submitter sends until its connection stands: a few probes, then one OPEN line and nothing behind it.
+    """What a client sends until its connection is established: a few probes, then one OPEN line and nothing behind it.
 
-    Bounded and linear, however much comes at once and in whatever pieces."""
+    Bounded and linear, however much comes at once and in whatever pieces.
+    """
 
     __slots__ = ("rest", "probes")
 
@@ -94,9 +111,12 @@
         self.probes = 0
 
     def feed(self, data: bytes, ready: bool = True) -> tuple[bytes, Open | None]:
-        """What to answer to probes, and the OPEN line once it is there; a relay that is not ready says NO to PING."""
+        """Returns what to answer to probes, and the OPEN line once it is there. Raises LineError.
+
+        ready: whether the relay accepts connections; where it does not, PING is answered with NO.
+        """
         data, self.rest, at, answers = self.rest + data, b"", 0, b""
-        while (end := data.find(b"\n", at, at + LONGEST)) >= 0:
+        while (end := data.find(b"\n", at, at + MAX_LINE_BYTES)) >= 0:
             line, at = data[at : end + 1], end + 1
             if not line.endswith(END):
                 raise LineError("a line that does not end with CRLF")
@@ -109,14 +129,15 @@
             if self.probes > MAX_PROBES:
                 raise LineError("too many probes")
             answers += PROBES[line] if ready or line != b"PING" else NO
-        if len(data) - at >= LONGEST:
+        if len(data) - at >= MAX_LINE_BYTES:
             raise LineError("a first line that is too long")
         self.rest = data[at:]
         return answers, None
 
 
 def rejection_line(after_ms: float) -> bytes:
-    return b"BUSY %d\r\n" % round(after_ms) if after_ms >= 0.5 else b"BUSY\r\n"
+    """Returns the answer that rejects a request, with the time after which to come again where there is one."""
+    return b"BUSY %d\r\n" % round(after_ms) if after_ms >= MIN_RETRY_AFTER_MS else b"BUSY\r\n"
 
 
 class LineKind(Enum):
@@ -135,33 +156,37 @@
 
 
 def kind_of(line: bytes) -> LineKind:
+    """Returns what a backend's line says."""
     return LINE_KINDS.get(line.split(b" ", 1)[0], LineKind.OTHER)
 
 
 def load_of(line: bytes) -> float | None:
-    """The X of a LOAD X line; None where it makes no sense."""
+    """Returns the X of a LOAD X line; None where it makes no sense."""
     try:
         load = float(line.split(b" ", 1)[1])
     except (IndexError, ValueError):
         return None
-    return load if 0.0 <= load < 1e12 else None
+    return load if 0.0 <= load < MAX_LOAD else None
 
 
 def report_of(line: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """The values of these fields in a node's answer to `STATS`; empty where it brings no report. Raises LineError."""
+    """Returns the values of these fields in a backend's answer to `STATS`; empty where one is missing.
+
+    Raises LineError where it is no such answer.
+    """
     try:
-        word, _, rest = line.decode("ascii").partition(" ")
+        first, _, rest = line.decode("ascii").partition(" ")
     except UnicodeDecodeError:
         raise LineError("an answer to a probe that is not ASCII") from None
-    if word != "PONG":
+    if first != "PONG":
         raise LineError(f"{line[:60]!r} as an answer to a probe")
-    told: dict[str, float] = {}
+    values: dict[str, float] = {}
     for part in rest.replace(" ", ",").split(",") if rest else ():
         name, _, value = part.partition("=")
         if not FIGURE.fullmatch(value):
             raise LineError(f"{line[:60]!r}, a load report that makes no sense")
-        told[name] = float(value)
-    return tuple(told[name] for name in fields) if told.keys() >= set(fields) else ()
+        values[name] = float(value)
+    return tuple(values[name] for name in fields) if values.keys() >= set(fields) else ()
 
 
 class Lines:
@@ -173,10 +198,11 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
+        """Returns the lines that these bytes complete. Raises LineError where one is too long."""
         if self.rest:
             data = self.rest + data
         *lines, self.rest = data.split(END)
-        if len(self.rest) > LONGEST or any(len(line) > LONGEST for line in lines):
+        if len(self.rest) > MAX_LINE_BYTES or any(len(line) > MAX_LINE_BYTES for line in lines):
             raise LineError("a line that is too long")
         return lines
 
--- a/yarrowspindle/protocol/platform_settings.py
+++ b/yarrowspindle/protocol/platform_settings.py
@@ -1,4 +1,4 @@
-"""Reading the settings that an instance is told, in the deployment's names, into the library's own type."""
+"""Reading the settings of an instance, in the deployment's names, into the library's own type."""
 
 from __future__ import annotations
 
@@ -18,12 +18,13 @@
 
 
 class Pairs:
-    """Typed reading of the path=value settings."""
+    """Typed reading of the path=value settings. Each reader raises SettingsError where the value is not of its type."""
 
     def __init__(self, pairs: dict[str, str]) -> None:
         self.pairs = pairs
 
     def text(self, path: str, default: str | None = None) -> str:
+        """Returns the value as it came; the default where it is absent or null."""
         value = self.pairs.get(path, default)
         if value == "null":  # stated as absent
             value = default
@@ -32,6 +33,7 @@
         return value
 
     def number(self, path: str, default: float | None = None) -> float:
+        """Returns a finite number."""
         value = self.text(path, None if default is None else repr(default))
         try:
             number = float(value)
@@ -42,27 +44,32 @@
         return number
 
     def whole(self, path: str, default: int | None = None) -> int:
+        """Returns a whole number."""
         value = float(self.number(path, default))
         if not value.is_integer():
             raise SettingsError(f"setting {path} is not a whole number")
         return int(value)
 
     def flag(self, path: str, default: bool = False) -> bool:
+        """Returns a truth value."""
         value = self.text(path, "true" if default else "false")
         if value not in ("true", "false"):
             raise SettingsError(f"setting {path} is neither true nor false: {value!r}")
         return value == "true"
 
     def names(self, path: str) -> list[str]:
+        """Returns names that commas separate."""
         return [v for v in self.text(path, "").split(",") if v]
 
     def numbers(self, path: str) -> list[float]:
+        """Returns numbers that commas separate; 0 for null."""
         try:
             return [0.0 if v == "null" else float(v) for v in self.names(path)]
         except ValueError:
             raise SettingsError(f"setting {path} is not a list of numbers: {self.text(path)!r}") from None
 
     def choice(self, path: str, table: Mapping[str, T], default: str) -> T:
+        """Returns what the table has under the value."""
         value = self.text(path, default)
         if value not in table:
             raise SettingsError(f"setting {path} has an unknown value: {value!r}")
@@ -70,9 +77,9 @@
 
 
 def read_settings(pairs: dict[str, str]) -> Settings:
-    """The library's settings from path=value pairs; unknown keys are passed over."""
+    """Returns the library's settings from path=value pairs; unknown keys are passed over. Raises SettingsError."""
     p = Pairs(pairs)
-    message_aims = p.numbers("family_info.message_aim_ms")
+    message_objectives = p.numbers("family_info.message_aim_ms")
     classes = tuple(
         RequestClass(
             setup_latency_objective_ms=p.number(f"categories.{i}.slo_ms"),
@@ -81,7 +88,7 @@
             deduplication_scope=p.choice(f"categories.{i}.group", GROUPS, "cell"),
             idempotency_window_ms=p.number(f"categories.{i}.window_ms", 0.0),
             priority_weight=p.number(f"categories.{i}.points", 1.0),
-            message_latency_objective_ms=message_aims[i] if i < len(message_aims) else 0.0,
+            message_latency_objective_ms=message_objectives[i] if i < len(message_objectives) else 0.0,
         )
         for i in range(p.whole("categories.count"))
     )
--- a/yarrowspindle/protocol/quic.py
+++ b/yarrowspindle/protocol/quic.py
@@ -1,5 +1,8 @@
-"""QUIC as a relay sees it: headers (RFC 8999, RFC 9000 section 17), connection ids that name their node, and
-the two packets that a relay may write itself, a refusal (an Initial) and a Stateless Reset."""
+"""QUIC as a relay sees it: headers, connection ids that name their backend, and the packets that it writes itself.
+
+Headers are those of RFC 8999 and of RFC 9000, section 17. A relay may write a refusal (an Initial) and a Stateless
+Reset.
+"""
 
 from __future__ import annotations
 
@@ -24,15 +27,17 @@
 from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
 
 VERSIONS = (QuicProtocolVersion.VERSION_1, QuicProtocolVersion.VERSION_2)
-SMALLEST_INITIAL = 1200  # RFC 9000 section 14.1: an Initial in a smaller datagram is thrown away
+SMALLEST_INITIAL = 1200  # bytes. RFC 9000 section 14.1: an Initial in a smaller datagram is discarded
 ID_LENGTH = 17
 SERVER_BYTES, LINK_BYTES = 6, 4
+KEY_BYTES = 16  # of the connection ids
+MIN_LONG_HEADER_BYTES = 7  # first byte, version, and the lengths of two connection ids
 FIRST_OCTET = ID_LENGTH - 1  # config rotation 0 and the length that follows
 TOKEN_LENGTH = 16
 RESET_SMALLEST, RESET_LARGEST = 21, 43
 REFUSED = int(QuicErrorCode.CONNECTION_REFUSED)
 
-Link = tuple[int, int]  # the node's server id, and its number for the connection
+Link = tuple[int, int]  # the backend's server id, and its number for the connection
 
 
 class PacketError(Exception):
@@ -41,6 +46,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Header:
+    """What the header of a packet says to a relay."""
+
     kind: QuicPacketType | None  # None: a version that we don't speak
     version: int  # 0 for short headers and version negotiation
     destination: bytes
@@ -49,12 +56,13 @@
 
     @property
     def short(self) -> bool:
+        """Whether it is the header of an established connection's packet."""
         return self.kind is QuicPacketType.ONE_RTT
 
 
 def parse_invariant(data: bytes) -> Header:
-    """A long header by RFC 8999 alone, whatever the version."""
-    if len(data) < 7:
+    """Reads a long header by RFC 8999 alone, whatever the version. Raises PacketError."""
+    if len(data) < MIN_LONG_HEADER_BYTES:
         raise PacketError("too short for a long header")
     at, ids = 5, []
     for _ in "ds":
@@ -66,7 +74,10 @@
 
 
 def parse_header(data: bytes, short_length: int = ID_LENGTH) -> Header:
-    """The first packet of a datagram. `short_length`: the length of ids in short headers."""
+    """Reads the first packet of a datagram. Raises PacketError.
+
+    short_length: of the connection ids in short headers, in bytes.
+    """
     if not data:
         raise PacketError("an empty datagram")
     if data[0] & 0x80:
@@ -85,7 +96,7 @@
 
 
 def parse_datagram(data: bytes, short_length: int) -> list[Header]:
-    """All packets of a datagram; what follows a packet that makes no sense is passed over."""
+    """Reads all packets of a datagram; what follows one that makes no sense is passed over. Raises PacketError."""
     headers = [parse_header(data, short_length)]
     at = headers[0].length
     while at < len(data) and data[at] & 0x80:
@@ -98,23 +109,25 @@
 
 
 class BackendIds:
-    """Connection ids in the manner of QUIC-LB's single-pass encryption, with a key that nodes and relays share.
+    """Connection ids in the manner of QUIC-LB's single-pass encryption, with a key that backends and relays share.
 
-    The block holds the server id and a nonce that no other id of that server has. Nodes keep the nonce unique
+    The block holds the server id and a nonce that no other id of that server has. Backends keep the nonce unique
     with the number of the connection and a sequence number, which lets a relay count connections by their ids.
     """
 
     def __init__(self, key: bytes) -> None:
-        if len(key) != 16:
-            raise ValueError("the key of the connection ids has 16 bytes")
+        if len(key) != KEY_BYTES:
+            raise ValueError(f"the key of the connection ids has {KEY_BYTES} bytes")
         self.cipher = Cipher(algorithms.AES(key), modes.ECB())  # one block, never a message
 
     def encode(self, server: int, link: int, sequence: int) -> bytes:
+        """Returns an id of this server's connection; sequence: of the ids of that connection."""
         block = server.to_bytes(SERVER_BYTES, "big") + link.to_bytes(LINK_BYTES, "big") + sequence.to_bytes(6, "big")
         sealed = self.cipher.encryptor()
         return bytes([FIRST_OCTET]) + sealed.update(block) + sealed.finalize()
 
     def decode(self, cid: bytes) -> Link | None:
+        """Returns whose id it is; None where it has another form."""
         if len(cid) != ID_LENGTH or cid[0] != FIRST_OCTET:
             return None
         opened = self.cipher.decryptor()
@@ -126,12 +139,12 @@
 
 
 def reset_token(key: bytes, cid: bytes) -> bytes:
-    """RFC 9000 section 10.3.2: from a static key that nodes and relays share, and the connection id."""
+    """RFC 9000 section 10.3.2: from a static key that backends and relays share, and the connection id."""
     return hmac.new(key, cid, hashlib.sha256).digest()[:TOKEN_LENGTH]
 
 
 def stateless_reset(token: bytes, answered: int) -> bytes | None:
-    """A Stateless Reset for a datagram of that size; always smaller, so that two ends cannot go on for ever."""
+    """Returns a Stateless Reset for a datagram of that size; smaller, so that two ends cannot go on for ever."""
     size = min(answered - 1, RESET_LARGEST)
     if size < RESET_SMALLEST:
         return None
@@ -141,7 +154,10 @@
 
 
 def initial_close(version: int, original: bytes, client: bytes, code: int, reason: str) -> bytes:
-    """An Initial that closes a connection before it stands; `original`: the id that the client made up."""
+    """Returns an Initial that closes a connection before it is established.
+
+    original: the id that the client drew for the server.
+    """
     text = reason.encode()
     frame = (
         encode_uint_var(int(QuicFrameType.TRANSPORT_CLOSE))
@@ -168,7 +184,7 @@
 
 
 def close_code(packet: bytes, header: Header, original: bytes) -> int | None:
-    """The code of the CONNECTION_CLOSE that a node's Initial holds; None where it holds none."""
+    """Returns the code of the CONNECTION_CLOSE that a backend's Initial holds; None where it holds none."""
     pair = CryptoPair()
     pair.setup_initial(cid=original, is_client=True, version=header.version)
     buffer = Buffer(data=packet[: header.length])
@@ -199,6 +215,7 @@
 
 
 def skip_ack(frames: Buffer, kind: int) -> None:
+    """Moves behind an ACK frame of this type."""
     frames.pull_uint_var()
     frames.pull_uint_var()
     for _ in range(2 * frames.pull_uint_var() + 1):
@@ -208,6 +225,7 @@
 
 
 def version_negotiation(header: Header) -> bytes:
+    """Returns the answer to a long header of a version that the relay does not know."""
     return encode_quic_version_negotiation(
         source_cid=header.destination, destination_cid=header.source, supported_versions=[int(v) for v in VERSIONS]
     )
