--- a/benchmarks/soak/backends.py
+++ b/benchmarks/soak/backends.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import socket
+import time
 from contextlib import suppress
 from random import Random
 from typing import Any, cast
 
 from benchmarks.soak.arrivals import data_age_s, end_age_s
+from benchmarks.soak.connection import RESET_AT_CLOSE
 from benchmarks.soak.oracle import Attempt
 from benchmarks.soak.world import LINE_END, World
 
@@ -41,6 +43,12 @@
         if self.front is None and self.held is None:
             self.front = await loop.create_server(lambda: RelayEnd(self), *self.address, backlog=512)
 
+    async def start_anew(self) -> None:
+        """A new process listens, under a new start."""
+        self.start_ms = time.time() * 1000.0
+        await self.open()
+        self.world.oracle.starts.setdefault(self.name, []).append(self.world.now())
+
     def crash(self) -> None:
         """The process ends: what it held is reset, and nobody listens."""
         for server in (self.server, self.front):
@@ -202,7 +210,7 @@
         if self.transport is not None and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
             with suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             self.transport.abort()
 
     def eof_received(self) -> bool:
--- a/benchmarks/soak/discovery.py
+++ b/benchmarks/soak/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import time
 from contextlib import suppress
 from random import Random
 from typing import Any
@@ -155,7 +154,3 @@
                     for relay in self.relays.values():
                         self._note(relay, backend, at)
         self.behaviour = ""
-
-    @staticmethod
-    def wall_ms() -> float:
-        return time.time() * 1000.0
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -307,9 +307,7 @@
             backend.crash()
         await asyncio.sleep(random.uniform(0.0, 0.4) if crash else 0.02)
         for backend in some:
-            backend.start_ms = self.discovery.wall_ms()
-            await backend.open()
-            self.world.oracle.starts.setdefault(backend.name, []).append(self.world.now())
+            await backend.start_anew()
             self.discovery.change(backend, "ready")
         await self._rest(trouble)
 
@@ -325,9 +323,7 @@
         await asyncio.sleep(trouble.for_s * 0.3)
         for backend in some:
             if backend.phase == "gone":
-                backend.start_ms = self.discovery.wall_ms()
-                await backend.open()
-                self.world.oracle.starts.setdefault(backend.name, []).append(self.world.now())
+                await backend.start_anew()
             self.discovery.change(backend, "ready")
 
     async def _list(self, trouble: Trouble, random: Random) -> None:
