--- a/benchmarks/soak/connection.py
+++ b/benchmarks/soak/connection.py
@@ -69,11 +69,11 @@
         return self.ended or self.closed or bool(self._ends(INSTANT_MS if instant else 0))
 
     def ended_at(self) -> float:
-        """When the peer's end arrived, by the kernel, where nothing was sent since; inf: it has not.
+        """When the peer's end arrived, by the kernel, where nothing was sent since; inf: it has not, or we have closed.
 
         The kernel keeps no time of a reset, which counts as one of this moment.
         """
-        if not self.end_is_there():
+        if self.closed or not self.end_is_there():
             return inf
         return self.now() if self._ends(0) & RESETS else self._before_now(end_age_s)
 
