Take the last step of the shutdown when its time is over, not when its timer is due

What callers saw: a relay held for 1.2 s while it shut down ended 14 of 20 established connections without MOVE; requests that waited would have been closed with no answer.

Cause: the shutdown's timer counts from when it is set.

Change: the front asks for the last step itself once the time has passed. It works since that step answers or migrates whoever is left by then.

--- a/tests/daemon/test_starts_and_ends.py
+++ b/tests/daemon/test_starts_and_ends.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -21,10 +22,12 @@
 from tests.transport.test_connecting import Backend, config
 from yarrowspindle.daemon import metrics_reporter
 from yarrowspindle.daemon.config import read_config
+from yarrowspindle.daemon.main import CLOSE_S
 from yarrowspindle.daemon.operator_config import MetricsConfig
 from yarrowspindle.daemon.relay_service import RelayService
 from yarrowspindle.fronts.line_front import LineFront
 from yarrowspindle.routing.effects import MigrateConnection
+from yarrowspindle.routing.timers import SHUTDOWN_TIMER
 from yarrowspindle.runtime import SystemClock
 from yarrowspindle.transport.line_connection import LineConnection
 from yarrowspindle.transport.receivers import Datagrams
@@ -187,6 +190,58 @@
     uvloop.run(body())
 
 
+HOLD_S = 0.7  # beyond the end, and the time for hearing clients out
+STEP_S = 0.4  # before the end: a step of the shutdown that leaves a part of the connections to later ones
+CLIENTS = 20
+
+
+@pytest.mark.parametrize("standing", (True, False))
+def test_a_hold_within_a_step_of_the_shutdown_leaves_nobody_unanswered(
+    monkeypatch: pytest.MonkeyPatch, standing: bool
+) -> None:
+    """Guards against an end that waits for a timer, which a hold sets late: connections ended without MOVE or BUSY."""
+
+    async def body() -> None:
+        backend, answer = Backend(), b"UP r1\r\n" if standing else b""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            writer.write(answer)
+
+        await asyncio.start_server(serve, "127.0.0.1", backend.port)
+        service = RelayService(read_config(config([backend])), SystemClock())
+        service.start()
+        front = LineFront(service, 200).start()
+        service.serving = True
+        loop, timers = asyncio.get_running_loop(), service.runtime.timers
+        until = loop.time() + service.begin_shutdown() / 1000.0
+        clients = [await asyncio.open_connection(*service.config.listen) for _ in range(CLIENTS)]
+        if not standing:
+            await asyncio.sleep(until - loop.time() - 1.1 * STEP_S)  # their own time is over long after the end
+        for number, (_, writer) in enumerate(clients):
+            writer.write(f"OPEN {number:016x} 7f3a9c21e0b4d655 c=charge,t=acme,d=900\r\n".encode())
+        holds: list[float] = []
+
+        def hold_and_set(delay_ms: float, what: object) -> None:
+            if what == SHUTDOWN_TIMER and until - STEP_S < loop.time() < until and not holds:
+                holds.append(loop.time())
+                time.sleep(HOLD_S)
+            set_timer(delay_ms, what)
+
+        set_timer = timers.set
+        monkeypatch.setattr(timers, "set", hold_and_set)
+        await asyncio.sleep(until - loop.time())
+        await front.end(until + CLOSE_S)
+        assert holds
+        assert not service.reducer.requests
+        last = b"MOVE\r\n" if standing else b"ERR\r\n"  # what waits was sent to its backend, and may have run there
+        assert [await asyncio.wait_for(reader.read(), WAIT_S) for reader, _ in clients] == [answer + last] * CLIENTS
+        for _, writer in clients:
+            writer.close()
+
+    uvloop.run(body())
+
+
 def test_an_option_that_cannot_be_set_does_not_lose_the_connection() -> None:
     class Sock:
         family = socket.AF_INET
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -23,8 +23,10 @@
     RebalancingConfigured,
     SettingsChanged,
     ShutdownRequested,
+    TimerFired,
 )
 from yarrowspindle.routing.reducer import Reducer
+from yarrowspindle.routing.timers import SHUTDOWN_TIMER
 from yarrowspindle.runtime import Clock, Runtime, SystemClock, Timers
 from yarrowspindle.runtime.endpoint_watch import EndpointWatch
 from yarrowspindle.runtime.health_checker import HealthChecker
@@ -173,6 +175,15 @@
         self.post(ShutdownRequested(within_ms))
         return within_ms
 
+    def finish_shutdown(self) -> None:
+        """Answers or migrates everybody who is left, once the time for it has passed.
+
+        The shutdown's own timer may fall due later: it counts from when it is set, and the process may have been held
+        since the step that sets it read its clock.
+        """
+        self.runtime.timers.run_due()
+        self.post(TimerFired(SHUTDOWN_TIMER))
+
     # --- new configurations -----------------------------------------------------------------------
 
     def reload(self) -> None:
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -124,7 +124,7 @@
         """
         while not self.service.reducer.has_ended(self.runtime.clock.now()):
             await asyncio.sleep(TURN_S)
-        self.runtime.timers.run_due()  # with the end everybody is answered or migrated
+        self.service.finish_shutdown()
         began = self.loop.time()
         await self.listener.close(until)
         await self._end_silent_clients()
