Name the HTTP status of a list by a constant of its own, without a module for it

Cause: took it from the standard library's `http`, whose import costs each start of a relay 0.9 ms (-X importtime; 156 to 160 ms in all).

Change: `HTTP_OK`.

--- a/yarrowspindle/protocol/endpoint_list.py
+++ b/yarrowspindle/protocol/endpoint_list.py
@@ -5,7 +5,6 @@
 import json
 import re
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 import httptools
 
@@ -14,6 +13,7 @@
 from yarrowspindle.routing.events import Endpoint, EndpointsUpdated
 
 STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.GONE}
+HTTP_OK = 200
 MAX_LIST_BYTES = 4 << 20  # of one object, indented or not
 MAX_PORT, MAX_CELL, MAX_SIZE = 65_535, 1e9, 1e9
 MAX_TIME_MS = 1e14  # of a Unix time: the year 5138
@@ -130,7 +130,7 @@
 
     def on_headers_complete(self) -> None:
         """Of the parser: the head has come. Raises ListError unless the call succeeded."""
-        if self.parser.get_status_code() != HTTPStatus.OK:
+        if self.parser.get_status_code() != HTTP_OK:
             raise ListError(f"status {self.parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
