--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -240,6 +240,7 @@
             world.process.kill()
             await world.process.wait()
         await reading
+        print("".join(said))  # pytest shows it where the test fails
         assert "Traceback" not in "".join(said), "".join(said)
         assert not [line for line in said if " invariant " in line], "".join(said)
 
