Pass over a connection that carried no request in the tests' backends

Cause: a drain that is told while a connection to its backend comes up ends the connection without a byte, as it has to. The stand-in handed that connection out as the next request; the test answered it, and the request, placed at the other backend, was left unanswered until its deadline.

Change: Server.asked passes over a connection that came to its end without a byte, which the protocol counts as no attempt; one that was reset, or that ended within a line, is handed out as before. A new test holds the relay until a request and the drain wait for it, which makes the crossing occur.

--- a/tests/daemon/test_crossings.py
+++ b/tests/daemon/test_crossings.py
@@ -57,6 +57,16 @@
         return [peer.first for peer in (self.came.get_nowait() for _ in range(self.came.qsize())) if peer.first]
 
 
+def unread(port: int, client: bool = False) -> bool:
+    """Whether bytes wait in the kernel, at the server that has this port or at a client of it."""
+    with Path("/proc/net/tcp").open(encoding="ascii") as table:
+        rows = [line.split() for line in table]
+    address = 2 if client else 1
+    return any(
+        row[address].endswith(f":{port:04X}") and int(row[4].split(":")[1], 16) > 0 for row in rows if row[3] == "01"
+    )
+
+
 async def listed(w: World, **phases: str) -> None:
     """The whole list as told on the watch that is open, or on the next, and taken."""
     if not hasattr(w, "watch"):
@@ -266,6 +276,28 @@
     run(tmp_path, body, limits=PATIENT)
 
 
+def test_nothing_is_sent_to_a_backend_whose_drain_is_told_in_the_turn_after_its_connection_began(
+    tmp_path: Path,
+) -> None:
+    """The relay is held until a request and the drain wait for it: the connection stands and nothing was sent on it."""
+
+    async def body(w: World) -> None:
+        await listed(w, s_1="ready", s_2="draining")
+        resting = await w.client("PING")
+        assert await resting.hear() == "PONG"
+        w.process.send_signal(signal.SIGSTOP)
+        resting.say("OPEN 00000000000000aa 7f3a9c21e0b4d655 c=chat,t=acme,d=1500")
+        await until(lambda: unread(w.port))
+        w.watch.writer.write(w.members(True, w.member("s-1", "draining"), w.member("s-2")))
+        await until(lambda: unread(w.list.port, client=True))
+        w.process.send_signal(signal.SIGCONT)
+        name, backend, _ = await w.placed()
+        backend.say("UP r1")
+        assert (name, await resting.hear()) == ("s-2", "UP r1")
+
+    run(tmp_path, body)
+
+
 def test_an_attempt_under_way_does_not_go_to_the_new_start_of_its_backend(tmp_path: Path) -> None:
     """It had been chosen as warm, and came on top of the budget of a cold node."""
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -93,7 +93,13 @@
         return await asyncio.wait_for(self.came.get(), WAIT_S)
 
     async def asked(self) -> tuple[Peer, str]:
+        """The next connection that carries a request, and the first line of it.
+
+        One that the relay ended without a byte was no attempt: a drain was told while it came up, for instance.
+        """
         peer = await self.next()
+        while not peer.first and peer.reader.at_eof():
+            peer = await self.next()
         return peer, await peer.hear()
 
 
