Name the laboratory's faults by the field's terms, and decide each in a function of its own

Cause: lab/faults.py spoke of words, ways and fates, drew all of a fault in one function of 20 branches, and decided a datagram's delivery in another of 14.

Change: Fault has kind, start_s, duration_s, probability, delay_ms, parties and others; FaultyNetwork returns a list of Delivery; sides, delays and ranges have functions and constants of their own.

--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -64,7 +64,7 @@
     fleet = Fleet(replace(sized(BASES[deployment], relays), peers=peers), seed)
     if fleet.talk is not None and fleet.talk.net is not None and way != "on":
         word, share = {"mute": ("mute", 1.0), "old": ("old", 1.0)}.get(way, ("loss", 0.3))
-        fleet.talk.net.ways.start(Fault(word, 0.0, 1e9, share, 5000.0 if word == "old" else 0.0))
+        fleet.talk.net.faulty_network.start(Fault(word, 0.0, 1e9, share, 5000.0 if word == "old" else 0.0))
     fleet.fill(4.0)
     fleet.run(8.0)
     wanted, served, crossed, stood = fleet.wanted, fleet.served, fleet.crossed, fleet.stood
--- a/tests/configuration/test_model_days.py
+++ b/tests/configuration/test_model_days.py
@@ -26,13 +26,13 @@
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_controller_may_fail_at_each_message(kind: str) -> None:
     for number in (1, 4):
-        faults = [Fault("dies", 1.0, 5.0, one=(kind, f"{number}")), Fault("loss", 1.0, 5.0, 0.1)]
+        faults = [Fault("dies", 1.0, 5.0, parties=(kind, f"{number}")), Fault("loss", 1.0, 5.0, 0.1)]
         found = play_control(number, faults=faults, fleet=(3, 3, 6))
         assert not found.violations and not found.stuck, (kind, number, found)
 
 
 def test_without_a_majority_nothing_changes_and_changes_resume_with_it() -> None:
-    faults = [Fault("kill", 2.0, 5.0, one=(name,)) for name in ("c00", "c01")]
+    faults = [Fault("kill", 2.0, 5.0, parties=(name,)) for name in ("c00", "c01")]
     found = play_control(3, faults=faults, fleet=(3, 3, 6), together=False)
     assert not found.violations and not found.stuck and found.counts["versions"] > 3
 
@@ -43,11 +43,11 @@
 SPLITS = [
     LOSS,
     Fault("held", 1.0, 9.0, 0.25, 1500.0),
-    Fault("split", 2.0, 3.0, one=("c00", *ALL_RELAYS), other=("c01", "c02")),
-    Fault("split", 5.5, 3.0, one=("c01", *ALL_RELAYS), other=("c00", "c02")),
+    Fault("split", 2.0, 3.0, parties=("c00", *ALL_RELAYS), others=("c01", "c02")),
+    Fault("split", 5.5, 3.0, parties=("c01", *ALL_RELAYS), others=("c00", "c02")),
 ]
 KILLS = [
-    *(Fault("kill", 2.0 + n * 0.8, 0.4, one=(f"c{n % 3:02d}",)) for n in range(9)),
+    *(Fault("kill", 2.0 + n * 0.8, 0.4, parties=(f"c{n % 3:02d}",)) for n in range(9)),
     Fault("loss", 1.0, 9.0, 0.2),
     Fault("double", 1.0, 9.0, 0.5, 1500.0),
 ]
@@ -55,12 +55,12 @@
     Fault("reorder", 1.0, 9.0, 0.5, 700.0),
     LOSS,
     DUPLICATES,
-    Fault("oneway", 1.0, 9.0, one=("c01",), other=("c00",)),
+    Fault("oneway", 1.0, 9.0, parties=("c01",), others=("c00",)),
 ]
 STALLS = [
-    *(Fault("stall", 2.0 + n * 1.2, 0.9, one=(f"c{n % 3:02d}",)) for n in range(6)),
+    *(Fault("stall", 2.0 + n * 1.2, 0.9, parties=(f"c{n % 3:02d}",)) for n in range(6)),
     Fault("loss", 1.0, 9.0, 0.2),
-    Fault("late", 1.0, 9.0, late_ms=300.0),
+    Fault("late", 1.0, 9.0, delay_ms=300.0),
 ]
 
 
@@ -94,39 +94,39 @@
     "older": DefectDay(
         0,
         SMALL,
-        [Fault("split", 1.5, 7.0, one=("c01",), other=("c00", "c02")), Fault("kill", 4.0, 2.0, one=("c00",))],
+        [Fault("split", 1.5, 7.0, parties=("c01",), others=("c00", "c02")), Fault("kill", 4.0, 2.0, parties=("c00",))],
     ),
     "in force too early": DefectDay(
-        0, SMALL, [Fault("kill", 3.2 + n * 2.0, 1.3, one=(f"c{n % 3:02d}",)) for n in range(4)]
+        0, SMALL, [Fault("kill", 3.2 + n * 2.0, 1.3, parties=(f"c{n % 3:02d}",)) for n in range(4)]
     ),
     "forgets who leaves": DefectDay(99),
     "lies": DefectDay(
         0,
         SMALL,
         [
-            Fault("lost", 1.2, 2.8, one=("c02",), other=("c00", "c01")),
-            Fault("file", 4.0, 0.3, one=("c01",)),
-            Fault("stall", 4.1, 4.0, one=("c00",)),
+            Fault("lost", 1.2, 2.8, parties=("c02",), others=("c00", "c01")),
+            Fault("file", 4.0, 0.3, parties=("c01",)),
+            Fault("stall", 4.1, 4.0, parties=("c00",)),
         ],
     ),
-    "serves on": DefectDay(0, SMALL, [Fault("old program", 1.0, 8.0, one=ALL_RELAYS[:3])]),
-    "log over a gap": DefectDay(2, SMALL, [Fault("kill", 1.2, 8.0, one=("r0003",))]),
+    "serves on": DefectDay(0, SMALL, [Fault("old program", 1.0, 8.0, parties=ALL_RELAYS[:3])]),
+    "log over a gap": DefectDay(2, SMALL, [Fault("kill", 1.2, 8.0, parties=("r0003",))]),
     "gap": DefectDay(
         26,
         SMALL,
         [
-            Fault("old program", 1.0, 9.0, one=ALL_RELAYS),
+            Fault("old program", 1.0, 9.0, parties=ALL_RELAYS),
             Fault("held", 1.0, 9.0, 0.3, 1500.0),
-            *(Fault("kill", 1.5 + 0.7 * n, 0.3, one=(ALL_RELAYS[n % 6],)) for n in range(11)),
+            *(Fault("kill", 1.5 + 0.7 * n, 0.3, parties=(ALL_RELAYS[n % 6],)) for n in range(11)),
         ],
     ),
     "numbers anew": DefectDay(
         2,
         SMALL,
         [
-            Fault("clock", 2.0, 0.5, one=("c02",)),
-            Fault("clock", 4.0, 0.5, one=("c01",)),
-            Fault("late", 1.0, 9.0, late_ms=500.0),
+            Fault("clock", 2.0, 0.5, parties=("c02",)),
+            Fault("clock", 4.0, 0.5, parties=("c01",)),
+            Fault("late", 1.0, 9.0, delay_ms=500.0),
             Fault("loss", 1.0, 9.0, 0.2),
             Fault("double", 1.0, 9.0, 0.5, 2000.0),
         ],
@@ -135,7 +135,7 @@
         7,
         LARGER,
         [
-            Fault("split", 2.0, 4.0, one=("c00", "c01", *ALL_RELAYS), other=("c02", "c03", "c04")),
+            Fault("split", 2.0, 4.0, parties=("c00", "c01", *ALL_RELAYS), others=("c02", "c03", "c04")),
             Fault("double", 1.0, 8.0, 0.5, 200.0),
         ],
     ),
--- a/tests/daemon/test_configuration_daemon.py
+++ b/tests/daemon/test_configuration_daemon.py
@@ -33,7 +33,7 @@
 from yarrowspindle.configuration.link import Link
 from yarrowspindle.configuration.messages import LatestVersion
 from yarrowspindle.daemon.shared_settings import entry_value
-from yarrowspindle.lab.faults import Fault, Ways
+from yarrowspindle.lab.faults import Fault, FaultyNetwork
 from yarrowspindle.lab.processes.proxy import DatagramProxy
 from yarrowspindle.routing.address import Address
 
@@ -217,7 +217,7 @@
         world = ControllerCluster(tmp_path, ["r7", "r8", "r9"])  # the faults apply to parties with such names
         inside = {f"r{n}": address() for n in range(5)} | {one.name: one.address for one in world.controllers}
         outside = {name: address() for name in inside}
-        ways, parties = Ways(11), {at: name for name, at in inside.items()}
+        faulty_network, parties = FaultyNetwork(11), {at: name for name, at in inside.items()}
         passed: dict[bool, int] = {True: 0, False: 0}
 
         def seen(source: str, target: str, data: bytes, copies: int) -> None:
@@ -225,7 +225,7 @@
 
         for controller in world.controllers:
             controller.outside = outside[controller.name]
-        proxies = [DatagramProxy(name, at, parties, ways, seen) for name, at in inside.items()]
+        proxies = [DatagramProxy(name, at, parties, faulty_network, seen) for name, at in inside.items()]
         for proxy in proxies:
             await proxy.open(outside[proxy.target])
         async with AsyncExitStack() as stack:
@@ -236,10 +236,10 @@
             ]
             found = await relays(stack, tmp_path, operators)
             (tmp_path / "settings.json").write_text(json.dumps(SETTINGS))
-            ways.start(Fault("loss", 0.0, 9.0, 0.3))
+            faulty_network.start(Fault("loss", 0.0, 9.0, 0.3))
             assert await world.run_command(0, "load", str(tmp_path / "settings.json")) == 0
             await wait_until_all_applied(found, 1)
-            ways.start(Fault("cut", 0.0, 9.0, one=("r0",), other=("r7", "r8")))
+            faulty_network.start(Fault("cut", 0.0, 9.0, parties=("r0",), others=("r7", "r8")))
             began = time.monotonic()
             assert await world.run_command(1, "set", deadline_change(900.0)) == 0
             await wait_until_all_applied(found, 2)
--- a/tests/daemon/test_maintenance_daemon.py
+++ b/tests/daemon/test_maintenance_daemon.py
@@ -164,9 +164,9 @@
 def test_five_real_relays_evacuate_backends_under_loss_a_partition_a_kill_and_a_stall() -> None:
     faults = [
         Fault("loss", 0.0, 12.0, 0.25),
-        Fault("kill", 2.5, 2.0, one=("r1",)),
-        Fault("stall", 4.5, 3.0, one=("r0",)),
-        Fault("cut", 6.0, 4.0, one=("r2",), other=("r3",)),
+        Fault("kill", 2.5, 2.0, parties=("r1",)),
+        Fault("stall", 4.5, 3.0, parties=("r0",)),
+        Fault("cut", 6.0, 4.0, parties=("r2",), others=("r3",)),
     ]
     run = Run(
         5,
--- a/tests/membership/test_membership_days.py
+++ b/tests/membership/test_membership_days.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from yarrowspindle.lab.faults import WORDS, Fault, FaultError, Ways, read_words, relay_names, schedule
+from yarrowspindle.lab.faults import FAULT_KINDS, Fault, FaultError, FaultyNetwork, parse_kinds, relay_names, schedule
 from yarrowspindle.lab.model.members import Relays, play_members
 from yarrowspindle.lab.model.peering import address_of
 from yarrowspindle.membership.events import DatagramReceived, LocalLoad
@@ -144,7 +144,7 @@
 def test_load_signals_that_are_too_old_do_not_count() -> None:
     """Each datagram is delayed by 5 s; an age counted from the arrival alone would not show that."""
     world = started(3)
-    world.net.ways.start(Fault("old", 0.0, 60.0, 1.0, 5000.0))
+    world.net.faulty_network.start(Fault("old", 0.0, 60.0, 1.0, 5000.0))
     world.run(12.0)
     for _ in range(40):
         world.run(0.5)
@@ -196,24 +196,24 @@
 
 def test_fault_names_are_checked_and_a_schedule_is_the_same_for_the_same_seed() -> None:
     with pytest.raises(FaultError, match="'los' is no fault"):
-        read_words("los,cut")
+        parse_kinds("los,cut")
     names = relay_names(5)
-    drawn = [schedule(list(WORDS), names, ["n0"], 9, 1.0, 6.0) for _ in range(2)]
-    assert drawn[0] == drawn[1] and len(drawn[0]) == len(WORDS)
-    assert all(f.at_s >= 1.0 and f.ends_s <= 7.01 for f in drawn[0])
-    kill, stall = (next(f for f in drawn[0] if f.word == word) for word in ("kill", "stall"))
-    assert kill.one != stall.one
+    drawn = [schedule(list(FAULT_KINDS), names, ["n0"], 9, 1.0, 6.0) for _ in range(2)]
+    assert drawn[0] == drawn[1] and len(drawn[0]) == len(FAULT_KINDS)
+    assert all(f.start_s >= 1.0 and f.end_s <= 7.01 for f in drawn[0])
+    kill, stall = (next(f for f in drawn[0] if f.kind == word) for word in ("kill", "stall"))
+    assert kill.parties != stall.parties
 
 
 def test_the_fate_of_a_pair_s_datagrams_does_not_depend_on_other_traffic() -> None:
     def fates(noise: bool) -> list[int]:
-        ways = Ways(4)
-        ways.start(Fault("loss", 0.0, 9.0, 0.4))
+        faulty_network = FaultyNetwork(4)
+        faulty_network.start(Fault("loss", 0.0, 9.0, 0.4))
         found = []
         for _ in range(50):
             if noise:
-                ways.fate("r2", "r3", b"x")
-            found.append(len(ways.fate("r0", "r1", b"x")))
+                faulty_network.deliveries("r2", "r3", b"x")
+            found.append(len(faulty_network.deliveries("r0", "r1", b"x")))
         return found
 
     assert fates(False) == fates(True) and 10 < sum(fates(False)) < 45
--- a/yarrowspindle/lab/faults.py
+++ b/yarrowspindle/lab/faults.py
@@ -1,18 +1,18 @@
-"""Faults between parties, as words with times drawn from a seed: one vocabulary for real processes and for virtual
-time.
+"""Faults between parties, drawn from a seed: one vocabulary for real processes and for virtual time.
 
-Parties are named: relays "r0", "r1", ..., execute nodes by their names, the machine list "list". What befalls a
-datagram between two of them is decided here, by a random generator of that pair alone, so that one pair's traffic
-does not change another's fate.
+Parties are named: relays "r0", "r1", ..., backends by their names, the endpoint list "list". What befalls a datagram
+between two of them is decided here, by a random generator of that pair alone, so that one pair's traffic does not
+change what happens to another's.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
-WORDS = {
+FAULT_KINDS = {
     "loss": "a share of the datagrams between all relays is lost",
     "late": "datagrams between all relays take longer",
     "old": "all datagrams between relays take 5 s",
@@ -31,151 +31,234 @@
     "nodecut": "one relay cannot reach one execute node; connections that stand are silent",
     "listcut": "one relay cannot reach the machine list",
 }
-BETWEEN = frozenset(("loss", "late", "old", "double", "reorder", "held", "corrupt", "mute"))
-SHARES = {
+DATAGRAM_FAULTS = frozenset(("loss", "late", "old", "double", "reorder", "held", "corrupt", "mute"))
+PARTITIONS = frozenset(("cut", "split", "lost", "nodecut", "listcut"))  # nothing passes between their two sides
+PROCESS_FAULTS = frozenset(("kill", "stall"))
+DELAYS_MS = {
+    "late": (50.0, 800.0),
+    "double": (50.0, 800.0),
+    "reorder": (50.0, 800.0),
+    "held": (2000.0, 8000.0),
+}
+PROBABILITIES = {
     "loss": (0.1, 0.35),
     "double": (0.1, 0.5),
     "reorder": (0.1, 0.5),
     "corrupt": (0.02, 0.2),
     "held": (0.05, 0.25),
 }
-OLD_MS = 5000.0
+OLD_DATAGRAM_DELAY_MS = 5000.0
+DURATION_FRACTIONS = (0.4, 0.8)  # of the time that there is for all faults
+STALL_FRACTIONS = (0.5, 1.0)  # of the longest stall
+LATE_FACTORS = (0.5, 1.5)  # on the delay of a "late" fault, for each datagram
 
 
 class FaultError(ValueError):
-    """A word that is no fault; the text names those that are."""
+    """A text that names no kind of fault; its message names those that there are."""
 
 
 @dataclass(slots=True, frozen=True)
 class Fault:
-    """at_s, for_s: from the start of the run. share: of what it befalls. late_ms: how late. parties: whom, one or two
-    sides. A kill starts again, and a stall goes on, when its time is over."""
+    """One fault. A relay that was killed starts again, and one that is stalled goes on, when it is over.
+
+    Attributes:
+        kind: one of FAULT_KINDS, or of a model's own.
+        start_s: seconds from the start of the run.
+        duration_s: seconds.
+        probability: for each datagram.
+        delay_ms: of a datagram.
+        parties: whom it befalls.
+        others: the other side, where it lies between two.
+    """
 
-    word: str
-    at_s: float
-    for_s: float
-    share: float = 1.0
-    late_ms: float = 0.0
-    one: tuple[str, ...] = ()
-    other: tuple[str, ...] = ()
+    kind: str
+    start_s: float
+    duration_s: float
+    probability: float = 1.0
+    delay_ms: float = 0.0
+    parties: tuple[str, ...] = ()
+    others: tuple[str, ...] = ()
 
     @property
-    def ends_s(self) -> float:
-        return self.at_s + self.for_s
+    def end_s(self) -> float:
+        """Seconds from the start of the run."""
+        return self.start_s + self.duration_s
+
+    def separates(self, source: str, target: str) -> bool:
+        """Whether the two parties are on different sides of it."""
+        forth = source in self.parties and target in self.others
+        return forth or (target in self.parties and source in self.others)
 
     def __str__(self) -> str:
-        whom = " | ".join(" ".join(side) for side in (self.one, self.other) if side)
-        much = f" {self.share:.2f}" if self.word in SHARES else f" {self.late_ms:.0f} ms" if self.late_ms else ""
-        return f"{self.at_s:6.2f} to {self.ends_s:6.2f} s  {self.word}{much}{'  ' + whom if whom else ''}"
+        sides = " | ".join(" ".join(side) for side in (self.parties, self.others) if side)
+        amount = ""
+        if self.kind in PROBABILITIES:
+            amount = f" {self.probability:.2f}"
+        elif self.delay_ms:
+            amount = f" {self.delay_ms:.0f} ms"
+        return f"{self.start_s:6.2f} to {self.end_s:6.2f} s  {self.kind}{amount}{'  ' + sides if sides else ''}"
+
+
+class Delivery(NamedTuple):
+    """A copy of a datagram that arrives.
+
+    Attributes:
+        delay_ms: after it was sent.
+        data: what arrives.
+    """
+
+    delay_ms: float
+    data: bytes
 
 
 def relay_names(relays: int) -> list[str]:
+    """Returns the names of this many relays."""
     return [f"r{n}" for n in range(relays)]
 
 
-def read_words(text: str) -> list[str]:
-    words = [word.strip() for word in text.split(",") if word.strip()]
-    for word in words:
-        if word not in WORDS:
-            raise FaultError(f"{word!r} is no fault; these are: {', '.join(WORDS)}")
-    return words
+def parse_kinds(text: str) -> list[str]:
+    """Returns the kinds of faults that commas separate. Raises FaultError."""
+    kinds = [kind.strip() for kind in text.split(",") if kind.strip()]
+    for kind in kinds:
+        if kind not in FAULT_KINDS:
+            raise FaultError(f"{kind!r} is no fault; these are: {', '.join(FAULT_KINDS)}")
+    return kinds
 
 
 def schedule(
-    words: Sequence[str],
+    kinds: Sequence[str],
     relays: Sequence[str],
     backends: Sequence[str],
     seed: int,
     from_s: float,
     for_s: float,
-    stall_s: float = 3.0,
+    max_stall_s: float = 3.0,
 ) -> list[Fault]:
-    """One fault for each word, drawn from the seed; all are over by `from_s + for_s`."""
-    drawn, faults = Random(f"faults {seed}"), list[Fault]()
-    for word in words:
-        lasts = for_s * drawn.uniform(0.4, 0.8)
-        if word == "stall":
-            lasts = min(lasts, stall_s * drawn.uniform(0.5, 1.0))
-        at = from_s + drawn.uniform(0.0, for_s - lasts)
+    """Returns one fault of each kind, drawn from the seed; all are over by `from_s + for_s`."""
+    random = Random(f"faults {seed}")
+    faults: list[Fault] = []
+    for kind in kinds:
+        duration_s = for_s * random.uniform(*DURATION_FRACTIONS)
+        if kind == "stall":
+            duration_s = min(duration_s, max_stall_s * random.uniform(*STALL_FRACTIONS))
+        start_s = from_s + random.uniform(0.0, for_s - duration_s)
         order = list(relays)
-        drawn.shuffle(order)
-        if word in ("kill", "stall"):  # not the same relay twice, where there are several
-            order.sort(key=lambda relay: sum(relay in f.one for f in faults if f.word in ("kill", "stall")))
-        one, other, share, late = tuple[str, ...](), tuple[str, ...](), 1.0, 0.0
-        if word in SHARES:
-            share = drawn.uniform(*SHARES[word])
-        if word in ("late", "double", "reorder"):
-            late = drawn.uniform(50.0, 800.0)
-        elif word == "held":
-            late = drawn.uniform(2000.0, 8000.0)
-        elif word == "old":
-            late = OLD_MS
-        elif word in ("cut", "oneway"):
-            one, other = (order[0],), (order[1 % len(order)],)
-        elif word == "split":
-            part = max(1, drawn.randint(len(order) // 3, len(order) // 2))
-            one, other = tuple(sorted(order[:part])), tuple(sorted(order[part:]))
-        elif word == "lost":
-            one, other = (order[0],), tuple(sorted(order[1:]))
-        elif word in ("kill", "stall"):
-            one = (order[0],)
-        elif word == "nodecut":
-            one, other = (order[0],), (drawn.choice(list(backends)),)
-        elif word == "listcut":
-            one, other = (order[0],), ("list",)
-        faults.append(Fault(word, round(at, 3), round(lasts, 3), share, late, one, other))
-    return sorted(faults, key=lambda fault: (fault.at_s, fault.word))
-
-
-class Ways:
-    """What is wrong on the way from one party to another now, and what that does to a datagram."""
-
-    def __init__(self, seed: int, faults: Iterable[Fault] = ()) -> None:
-        self.seed, self.active = seed, list[Fault]()
-        self.faults = list(faults)
-        self.drawn: dict[tuple[str, str], Random] = {}
+        random.shuffle(order)
+        if kind in PROCESS_FAULTS:
+            order.sort(key=lambda relay: _process_faults(relay, faults))
+        probability = random.uniform(*PROBABILITIES[kind]) if kind in PROBABILITIES else 1.0
+        delay_ms = _draw_delay_ms(kind, random)
+        parties, others = _draw_sides(kind, order, backends, random)
+        faults.append(
+            Fault(kind, round(start_s, 3), round(duration_s, 3), probability, delay_ms, tuple(parties), tuple(others))
+        )
+    return sorted(faults, key=lambda fault: (fault.start_s, fault.kind))
+
+
+def _process_faults(relay: str, faults: Sequence[Fault]) -> int:
+    """Returns how many of these befall the relay's process: none is to have two while another has none."""
+    return sum(relay in fault.parties for fault in faults if fault.kind in PROCESS_FAULTS)
+
+
+def _draw_delay_ms(kind: str, random: Random) -> float:
+    if kind in DELAYS_MS:
+        return random.uniform(*DELAYS_MS[kind])
+    return OLD_DATAGRAM_DELAY_MS if kind == "old" else 0.0
+
+
+def _draw_sides(
+    kind: str, order: Sequence[str], backends: Sequence[str], random: Random
+) -> tuple[Sequence[str], Sequence[str]]:
+    """Returns the two sides of a fault; order: the relays, the first of them befallen first."""
+    match kind:
+        case "cut" | "oneway":
+            return order[:1], (order[1 % len(order)],)
+        case "split":
+            size = max(1, random.randint(len(order) // 3, len(order) // 2))
+            return sorted(order[:size]), sorted(order[size:])
+        case "lost":
+            return order[:1], sorted(order[1:])
+        case "kill" | "stall":
+            return order[:1], ()
+        case "nodecut":
+            return order[:1], (random.choice(list(backends)),)
+        case "listcut":
+            return order[:1], ("list",)
+        case _:
+            return (), ()
+
+
+class FaultyNetwork:
+    """Decides what happens between two parties while faults are active.
+
+    Args:
+        seed: of the random generators, one for each pair of parties.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.active: list[Fault] = []
+        self._randoms: dict[tuple[str, str], Random] = {}
 
     def start(self, fault: Fault) -> None:
+        """Lets the fault begin."""
         self.active.append(fault)
 
     def end(self, fault: Fault) -> None:
+        """Lets the fault end, where it is active."""
         if fault in self.active:
             self.active.remove(fault)
 
-    def cut(self, source: str, target: str) -> bool:
-        """Nothing passes this way."""
-        for fault in self.active:
-            word = fault.word
-            if word == "mute" and source[0] == target[0] == "r":
-                return True
-            if word in ("cut", "split", "lost", "nodecut", "listcut"):
-                if (source in fault.one and target in fault.other) or (target in fault.one and source in fault.other):
-                    return True
-            elif word == "oneway" and source in fault.other and target in fault.one:
-                return True
-        return False
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether nothing passes from one party to another."""
+        return any(self._cuts(fault, source, target) for fault in self.active)
 
-    def fate(self, source: str, target: str, data: bytes) -> list[tuple[float, bytes]]:
-        """The copies that arrive of a datagram between relays: after how many milliseconds, and what."""
-        if self.cut(source, target):
+    def deliveries(self, source: str, target: str, data: bytes) -> list[Delivery]:
+        """Returns the copies of a datagram between relays that arrive."""
+        if self.is_cut(source, target):
             return []
-        between = [fault for fault in self.active if fault.word in BETWEEN]
-        if not between:
-            return [(0.0, data)]
-        pair = (source, target)
-        drawn = self.drawn.setdefault(pair, Random(f"{self.seed} {source} {target}"))
-        late, copies = 0.0, 1
-        again = 0.0
-        for fault in between:
-            if fault.word == "loss" and drawn.random() < fault.share:
-                return []
-            if fault.word in ("late", "old"):
-                late += fault.late_ms * (1.0 if fault.word == "old" else drawn.uniform(0.5, 1.5))
-            elif fault.word in ("reorder", "held") and drawn.random() < fault.share:
-                late += drawn.uniform(0.0, fault.late_ms)
-            elif fault.word == "double" and drawn.random() < fault.share:
-                copies, again = 2, drawn.uniform(0.0, fault.late_ms)
-            elif fault.word == "corrupt" and data and drawn.random() < fault.share:
-                at = drawn.randrange(len(data))
-                data = data[:at] + bytes((data[at] ^ drawn.randrange(1, 256),)) + data[at + 1 :]
-        return [(late, data)] + [(late + again, data)] * (copies - 1)
+        active = [fault for fault in self.active if fault.kind in DATAGRAM_FAULTS]
+        if not active:
+            return [Delivery(0.0, data)]
+        random = self._randoms.setdefault((source, target), Random(f"{self.seed} {source} {target}"))
+        delay_ms, duplicate_delay_ms = 0.0, list[float]()
+        for fault in active:
+            if not _befalls(fault, data, random):
+                continue
+            match fault.kind:
+                case "loss":
+                    return []
+                case "late":
+                    delay_ms += fault.delay_ms * random.uniform(*LATE_FACTORS)
+                case "old":
+                    delay_ms += fault.delay_ms
+                case "reorder" | "held":
+                    delay_ms += random.uniform(0.0, fault.delay_ms)
+                case "double":
+                    duplicate_delay_ms = [random.uniform(0.0, fault.delay_ms)]
+                case "corrupt":
+                    data = _with_changed_byte(data, random)
+        return [Delivery(delay_ms, data), *(Delivery(delay_ms + later, data) for later in duplicate_delay_ms)]
+
+    @staticmethod
+    def _cuts(fault: Fault, source: str, target: str) -> bool:
+        if fault.kind == "mute":
+            return source[0] == target[0] == "r"
+        if fault.kind == "oneway":
+            return source in fault.others and target in fault.parties
+        return fault.kind in PARTITIONS and fault.separates(source, target)
+
+
+def _befalls(fault: Fault, data: bytes, random: Random) -> bool:
+    """Draws whether the fault befalls this datagram; one without a byte cannot be corrupted."""
+    if fault.kind not in PROBABILITIES:
+        return True
+    if fault.kind == "corrupt" and not data:
+        return False
+    return random.random() < fault.probability
+
+
+def _with_changed_byte(data: bytes, random: Random) -> bytes:
+    position = random.randrange(len(data))
+    changed = data[position] ^ random.randrange(1, 256)
+    return data[:position] + bytes((changed,)) + data[position + 1 :]
--- a/yarrowspindle/lab/model/controlling.py
+++ b/yarrowspindle/lab/model/controlling.py
@@ -35,7 +35,7 @@
 from yarrowspindle.consensus.acceptor import Acceptor, AcceptorState
 from yarrowspindle.consensus.messages import NO_BALLOT
 from yarrowspindle.consensus.proposer import Proposer
-from yarrowspindle.lab.faults import Ways
+from yarrowspindle.lab.faults import FaultyNetwork
 from yarrowspindle.lab.model.clock import VirtualClock
 from yarrowspindle.membership.codec import DroppedDatagramError
 from yarrowspindle.protocol.fragments import REQUEST_INTERVAL_MS
@@ -450,7 +450,7 @@
         self.places = {m.name: (m.address, m.zone) for m in self.machines} | {
             f"r{n:04d}": ((f"10.{n >> 8}.{n & 255}.1", PORT), ZONES[n % len(ZONES)]) for n in range(relays)
         }
-        self.ways = Ways(seed)
+        self.faulty_network = FaultyNetwork(seed)
         self.loss = 0.0
         self.cut = False  # between the regions
         self.changes: dict[tuple[str, int], Change] = {}
@@ -515,10 +515,10 @@
             return
         far = 0 if source.zone == target.zone else 1 if source.region == target.region else 2
         late = self.wires.uniform(*LATENCY[far])
-        if not self.ways.active:
+        if not self.faulty_network.active:
             self.clock.after(late, self._arrive, to, data, source.address)
             return
-        for more, copy in self.ways.fate(source.name, target.name, data):
+        for more, copy in self.faulty_network.deliveries(source.name, target.name, data):
             self.clock.after(late + more, self._arrive, to, copy, source.address)
 
     def _arrive(self, to: Address, data: bytes, source: Address) -> None:
--- a/yarrowspindle/lab/model/controlling_days.py
+++ b/yarrowspindle/lab/model/controlling_days.py
@@ -69,8 +69,8 @@
         self.machines = [m.name for m in world.machines]
         self.found = ControlDay(faults=list(faults) if faults is not None else self._drawn(seed))
         if random.random() < 0.25 if together is None else together:
-            self.found.faults = [replace(f, at_s=self.found.faults[0].at_s) for f in self.found.faults]
-        self.ends_s = max([FIRST_S + FAULTS_S, *(f.ends_s for f in self.found.faults)])
+            self.found.faults = [replace(f, start_s=self.found.faults[0].start_s) for f in self.found.faults]
+        self.ends_s = max([FIRST_S + FAULTS_S, *(f.end_s for f in self.found.faults)])
         self.downs: Counter[str] = Counter()
         self.cut_at = -SETTLED_S
         self.orders: list[tuple[ControllerHost, Change]] = []
@@ -79,8 +79,8 @@
         self.number = 0
         self.burst = random.choice((1, 2, 6, 40))
         for fault in self.found.faults:
-            if fault.word == "old program":
-                world.old_programs.update(fault.one)
+            if fault.kind == "old program":
+                world.old_programs.update(fault.parties)
 
     # --- faults ---------------------------------------------------------------------------------
 
@@ -88,7 +88,7 @@
         random = self.random
         words = random.sample(BETWEEN, random.choice((0, 1, 1, 2, 3))) + random.sample(AMONG, random.randint(1, 5))
         return sorted(
-            (self._fault(word.strip(), seed, n) for n, word in enumerate(words)), key=lambda f: (f.at_s, f.word)
+            (self._fault(word.strip(), seed, n) for n, word in enumerate(words)), key=lambda f: (f.start_s, f.kind)
         )
 
     def _fault(self, word: str, seed: int, n: int) -> Fault:
@@ -119,12 +119,12 @@
             one = tuple(random.sample(names[len(machines) :], random.randint(1, 3)))
         elif word == "dies":
             one = random.choice(KINDS), f"{random.randint(1, 12)}"
-        return replace(drawn, word=word, one=one, other=other)
+        return replace(drawn, kind=word, parties=one, others=other)
 
     def begin(self, fault: Fault) -> None:
-        world, word = self.world, fault.word
+        world, word = self.world, fault.kind
         if word in ("kill", "clock", "file", "zone"):
-            for name in fault.one:
+            for name in fault.parties:
                 self.down(name)
                 if word == "file":
                     world.files.pop(name, None)
@@ -132,39 +132,39 @@
                     world.clock_back.add(name)
                     self.turned_back.add(name)
         elif word == "stall":
-            world.stall(fault.one[0], 1000.0 * fault.for_s)
+            world.stall(fault.parties[0], 1000.0 * fault.duration_s)
         elif word == "region":
             world.cut = True
         elif word == "disk":
-            world.full_disks.update(fault.one)
+            world.full_disks.update(fault.parties)
         elif word == "bad memory":
-            world.bad_memories.update(fault.one)
+            world.bad_memories.update(fault.parties)
         elif word == "unable":
-            for name in fault.one:
+            for name in fault.parties:
                 host = world.hosts[name]
                 assert isinstance(host, RelayHost)
                 host.turns_down = world.newest() + self.random.randint(1, 3)
         elif word == "dies":
-            kind, number = fault.one
+            kind, number = fault.parties
             world.dies_at = (kind, int(number))
         elif word != "old program":
-            world.ways.start(fault)
+            world.faulty_network.start(fault)
 
     def end(self, fault: Fault) -> None:
-        world, word = self.world, fault.word
+        world, word = self.world, fault.kind
         if word in ("kill", "clock", "file", "zone"):
-            for name in fault.one:
+            for name in fault.parties:
                 self.up(name)
         elif word == "region":
             world.cut = False
         elif word == "disk":
-            world.full_disks.difference_update(fault.one)
+            world.full_disks.difference_update(fault.parties)
         elif word == "bad memory":
-            world.bad_memories.difference_update(fault.one)
+            world.bad_memories.difference_update(fault.parties)
         elif word == "dies":
             world.dies_at = ("", 0)
         else:
-            world.ways.end(fault)
+            world.faulty_network.end(fault)
 
     def down(self, name: str) -> None:
         self.downs[name] += 1
@@ -224,7 +224,7 @@
             self.downs[world.died] += 1
             world.clock.after(1000.0, self.up, world.died)
             world.died = ""
-        if world.cut or any(fault.word in CUTS for fault in world.ways.active):
+        if world.cut or any(fault.kind in CUTS for fault in world.faulty_network.active):
             self.cut_at = now
         if now < self.cut_at + SETTLED_S:
             return
@@ -299,8 +299,8 @@
         world.clock.after(1000.0 * FIRST_S * self.random.random(), self._orders)
         world.clock.after(LOOK_MS, self._look)
         for fault in found.faults:
-            world.clock.after(1000.0 * fault.at_s, self.begin, fault)
-            world.clock.after(1000.0 * fault.ends_s, self.end, fault)
+            world.clock.after(1000.0 * fault.start_s, self.begin, fault)
+            world.clock.after(1000.0 * fault.end_s, self.end, fault)
         while world.clock.seconds < self.ends_s and not world.checker.violations:
             world.run(0.5)
         world.run(1.1 * bool(sum(self.downs.values())))  # who died at a step starts again
--- a/yarrowspindle/lab/model/lending.py
+++ b/yarrowspindle/lab/model/lending.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any
 
-from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
+from yarrowspindle.lab.faults import Fault, FaultyNetwork, relay_names, schedule
 from yarrowspindle.lab.model.clock import VirtualClock
 from yarrowspindle.subsets.leases import MIN_NEED_FRACTION, HeldLease, LeaseGrant, LeaseRequest, QuotaHolder, QuotaPool
 
@@ -79,7 +79,7 @@
 
 class LeaseWorld:
     def __init__(self, relays: int, seed: int, parts: Parts | None = None) -> None:
-        self.clock, self.random, self.ways = VirtualClock(), Random(f"leases {seed}"), Ways(seed)
+        self.clock, self.random, self.faulty_network = VirtualClock(), Random(f"leases {seed}"), FaultyNetwork(seed)
         self.parts, self.names = parts or Parts(), relay_names(relays)
         self.needs = {name: self.random.choice((0.0, 20.0, 100.0, 400.0)) for name in self.names}
         self.relays: dict[str, LeaseRelay] = {}
@@ -101,7 +101,7 @@
         self.relays[name].stalled_until = self.clock.now() + for_ms
 
     def send(self, source: str, target: str, message: Any) -> None:
-        for late, copy in self.ways.fate(source, target, b"x"):
+        for late, copy in self.faulty_network.deliveries(source, target, b"x"):
             if copy == b"x":
                 self.clock.after(late + self.random.uniform(0.1, 5.0), self._arrive, source, target, message)
 
@@ -220,15 +220,15 @@
     world = LeaseWorld(relays, seed, parts)
     day = LeaseDay(faults=schedule(words, world.names, ["n0"], seed, 3.0, faults_s, 8.0))
     for fault in day.faults:
-        at, ends = 1000.0 * fault.at_s, 1000.0 * fault.ends_s
-        if fault.word == "kill":
-            world.clock.after(at, world.kill, fault.one[0])
-            world.clock.after(ends, world.start, fault.one[0])
-        elif fault.word == "stall":
-            world.clock.after(at, world.stall, fault.one[0], ends - at)
+        at, ends = 1000.0 * fault.start_s, 1000.0 * fault.end_s
+        if fault.kind == "kill":
+            world.clock.after(at, world.kill, fault.parties[0])
+            world.clock.after(ends, world.start, fault.parties[0])
+        elif fault.kind == "stall":
+            world.clock.after(at, world.stall, fault.parties[0], ends - at)
         else:
-            world.clock.after(at, world.ways.start, fault)
-            world.clock.after(ends, world.ways.end, fault)
+            world.clock.after(at, world.faulty_network.start, fault)
+            world.clock.after(ends, world.faulty_network.end, fault)
     if seed % 4 == 0:  # a bank that is back at once
         bank, at = world.names[seed % min(BANKS, relays)], 1000.0 * world.random.uniform(4.0, 14.0)
         world.clock.after(at, world.kill, bank)
--- a/yarrowspindle/lab/model/members.py
+++ b/yarrowspindle/lab/model/members.py
@@ -107,7 +107,7 @@
     began = world.net.datagrams, world.net.bytes
     world.net.apply(faults, world.kill, world.start)
     dead = {index: peer.core.counts["dead"] for index, peer in world.net.peers.items()}
-    killed = sum(fault.word == "kill" for fault in faults)
+    killed = sum(fault.kind == "kill" for fault in faults)
     steps = int(1000.0 * faults_s / STEP_MS) + 1
     for step in range(steps):
         if step % 5 == 0:
--- a/yarrowspindle/lab/model/peering.py
+++ b/yarrowspindle/lab/model/peering.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from yarrowspindle.decisions.events import PeerLoads
-from yarrowspindle.lab.faults import Fault, Ways
+from yarrowspindle.lab.faults import Fault, FaultyNetwork
 from yarrowspindle.lab.model.clock import VirtualClock
 from yarrowspindle.membership import Membership, PeerSettings
 from yarrowspindle.membership.events import DatagramReceived, Event, LeaveCluster, LocalLoad
@@ -113,7 +113,7 @@
     ) -> None:
         self.clock, self.seeds, self.latency, self.cell, self.changes = clock, seeds, latency, cell, changes
         self.random, self.wires = Random(f"net {seed}"), Random(f"wires {seed}")
-        self.ways = Ways(seed)
+        self.faulty_network = FaultyNetwork(seed)
         self.peers: dict[int, VirtualPeer] = {}
         self.at: dict[Address, VirtualPeer] = {}
         self.names: dict[int, str] = {}
@@ -141,7 +141,7 @@
         target = self.at.get(to)
         if target is None:
             return
-        for late, copy in self.ways.fate(source.party, target.party, data):
+        for late, copy in self.faulty_network.deliveries(source.party, target.party, data):
             self.clock.after(late + self.wires.uniform(*self.latency), self._arrive, to, copy, source.address)
 
     def _arrive(self, to: Address, data: bytes, source: Address) -> None:
@@ -152,21 +152,21 @@
     def apply(self, faults: list[Fault], kill: Callable[[int], None], start: Callable[[int], None]) -> None:
         """Sets the faults up, counted from now; `kill` and `start` do what is to be done to a relay."""
         for fault in faults:
-            at, ends = 1000.0 * fault.at_s, 1000.0 * fault.ends_s
-            index = int(fault.one[0][1:]) if fault.one and fault.word in ("kill", "stall") else 0
-            if fault.word == "kill":
+            at, ends = 1000.0 * fault.start_s, 1000.0 * fault.end_s
+            index = int(fault.parties[0][1:]) if fault.parties and fault.kind in ("kill", "stall") else 0
+            if fault.kind == "kill":
                 self.clock.after(at, kill, index)
                 self.clock.after(ends, start, index)
-            elif fault.word == "stall":
+            elif fault.kind == "stall":
                 self.clock.after(at, self._stall, index, ends - at)
-            elif fault.word == "restart":
+            elif fault.kind == "restart":
                 step = (ends - at) / max(len(self.peers), 1)
                 for number, one in enumerate(sorted(self.peers)):
                     self.clock.after(at + step * number, self._leave, one)
                     self.clock.after(at + step * (number + 0.5), start, one)
             else:
-                self.clock.after(at, self.ways.start, fault)
-                self.clock.after(ends, self.ways.end, fault)
+                self.clock.after(at, self.faulty_network.start, fault)
+                self.clock.after(ends, self.faulty_network.end, fault)
 
     def _stall(self, index: int, for_ms: float) -> None:
         self.peers[index].stall(for_ms)
--- a/yarrowspindle/lab/model/turning.py
+++ b/yarrowspindle/lab/model/turning.py
@@ -18,7 +18,7 @@
 from yarrowspindle.consensus.messages import NO_BALLOT, Accept, Accepted, Prepare, Promise
 from yarrowspindle.consensus.proposer import Proposer
 from yarrowspindle.decisions.events import EndpointState
-from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
+from yarrowspindle.lab.faults import Fault, FaultyNetwork, relay_names, schedule
 from yarrowspindle.lab.model.clock import VirtualClock
 from yarrowspindle.maintenance.codec import decode, encode
 from yarrowspindle.maintenance.commands import (
@@ -273,7 +273,7 @@
     ) -> None:
         self.clock, self.random = VirtualClock(), Random(f"turns {seed}")
         self.seed, self.parts, self.plan = seed, parts or Parts(), plan or Plan.of(seed)
-        self.ways = Ways(seed)
+        self.faulty_network = FaultyNetwork(seed)
         self.machines = tuple(f"m{n}" for n in range(machines))
         self.zones = {machine: n % 2 for n, machine in enumerate(self.machines)}
         self.starts = dict.fromkeys(self.machines, 0.0)
@@ -357,7 +357,7 @@
                 self.clock.after(1000.0, self.start, relay.name)
 
     def send(self, source: str, target: str, message: Any) -> None:
-        for late, copy in self.ways.fate(source, target, b"x"):
+        for late, copy in self.faulty_network.deliveries(source, target, b"x"):
             if copy == b"x":  # one that was changed is dropped by its sum
                 self.clock.after(late + self.random.uniform(0.1, 5.0), self._arrive, source, target, message)
 
@@ -417,16 +417,16 @@
 
     def apply(self, faults: Sequence[Fault], lose: bool) -> None:
         for fault in faults:
-            at, ends = 1000.0 * fault.at_s, 1000.0 * fault.ends_s
-            if fault.word == "kill":
-                self.clock.after(at, self.kill, fault.one[0], lose)
+            at, ends = 1000.0 * fault.start_s, 1000.0 * fault.end_s
+            if fault.kind == "kill":
+                self.clock.after(at, self.kill, fault.parties[0], lose)
                 lose = False  # files of a majority lost at once are more than any agreement bears: an operator's work
-                self.clock.after(ends, self.start, fault.one[0])
-            elif fault.word == "stall":
-                self.clock.after(at, self._stall, fault.one[0], ends - at)
+                self.clock.after(ends, self.start, fault.parties[0])
+            elif fault.kind == "stall":
+                self.clock.after(at, self._stall, fault.parties[0], ends - at)
             else:
-                self.clock.after(at, self.ways.start, fault)
-                self.clock.after(ends, self.ways.end, fault)
+                self.clock.after(at, self.faulty_network.start, fault)
+                self.clock.after(ends, self.faulty_network.end, fault)
 
     def _stall(self, name: str, for_ms: float) -> None:
         relay = self.relays[name]
@@ -463,7 +463,7 @@
     if faults is None:
         faults = schedule(words, world.names, ["n0"], seed, 0.3, faults_s, 20.0)
         if together:
-            faults = [replace(fault, at_s=faults[0].at_s) for fault in faults]
+            faults = [replace(fault, start_s=faults[0].start_s) for fault in faults]
     day = TurnDay(faults=list(faults))
     world.apply(day.faults, lose)
     world.run(0.5)
--- a/yarrowspindle/lab/processes/__main__.py
+++ b/yarrowspindle/lab/processes/__main__.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from yarrowspindle.lab.faults import WORDS, FaultError, read_words
+from yarrowspindle.lab.faults import FAULT_KINDS, FaultError, parse_kinds
 from yarrowspindle.lab.processes.run import Run
 from yarrowspindle.lab.processes.world import play
 
@@ -21,7 +21,7 @@
         prog="python -m yarrowspindle.lab.processes",
         description="Real relays with faults between them.",
         formatter_class=argparse.RawDescriptionHelpFormatter,
-        epilog="faults:\n" + "\n".join(f"  {word:8} {what}" for word, what in WORDS.items()),
+        epilog="faults:\n" + "\n".join(f"  {word:8} {what}" for word, what in FAULT_KINDS.items()),
     )
     parser.add_argument("--relays", type=int, default=5)
     parser.add_argument("--nodes", type=int, default=6)
@@ -35,7 +35,7 @@
     parser.add_argument("--logs", type=Path, help="a folder for the relays' logs")
     chosen = parser.parse_args(arguments)
     try:
-        words = tuple(read_words(chosen.faults))
+        words = tuple(parse_kinds(chosen.faults))
     except FaultError as error:
         parser.error(str(error))
     if min(chosen.relays, chosen.nodes, chosen.seeds) < 1 or chosen.submitters < 0 or chosen.relays > 80:
--- a/yarrowspindle/lab/processes/fleet_process.py
+++ b/yarrowspindle/lab/processes/fleet_process.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from yarrowspindle.lab.faults import Ways
+from yarrowspindle.lab.faults import FaultyNetwork
 from yarrowspindle.lab.processes.fleet_messages import (
     Command,
     CommandDone,
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         self.encode = msgspec.json.Encoder().encode
-        self.ways = Ways(0)
+        self.faulty_network = FaultyNetwork(0)
         self.backends: dict[str, Backend] = {}
         self.proxies: list[TcpProxy] = []
         self.numbers: dict[Pipe, int] = {}
@@ -59,9 +59,9 @@
         elif isinstance(command, KillBackend):
             self.backends[command.backend].die()
         elif isinstance(command, StartFault):
-            self.ways.start(command.fault)
+            self.faulty_network.start(command.fault)
         elif isinstance(command, EndFault):
-            self.ways.end(command.fault)
+            self.faulty_network.end(command.fault)
         self.report(CommandDone())
 
     async def _open(self, command: OpenFleet) -> None:
@@ -70,7 +70,7 @@
             self.backends[name] = Backend(name, address, random, command.lifetime_s)
             await self.backends[name].open()
         for wire in command.wires:
-            proxy = TcpProxy(wire.relay, wire.backend, command.backends[wire.backend], self.ways)
+            proxy = TcpProxy(wire.relay, wire.backend, command.backends[wire.backend], self.faulty_network)
             proxy.hears, proxy.ended = self._heard, self._ended
             await proxy.open(wire.address)
             self.proxies.append(proxy)
--- a/yarrowspindle/lab/processes/proxy.py
+++ b/yarrowspindle/lab/processes/proxy.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from yarrowspindle.lab.faults import Ways
+from yarrowspindle.lab.faults import FaultyNetwork
 from yarrowspindle.membership.messages import Ack, ChecksummedDatagram, Datagram, Ping
 from yarrowspindle.routing.address import Address
 
@@ -25,10 +25,14 @@
         target: str,
         inside: Address,
         parties: dict[Address, str],
-        ways: Ways,
+        faulty_network: FaultyNetwork,
         seen: Callable[[str, str, bytes, int], None],
     ) -> None:
-        self.target, self.inside, self.parties, self.ways, self.seen = target, inside, parties, ways, seen
+        self.target = target
+        self.inside = inside
+        self.parties = parties
+        self.faulty_network = faulty_network
+        self.seen = seen
         self.transport: asyncio.DatagramTransport | None = None
 
     async def open(self, address: Address) -> None:
@@ -41,7 +45,7 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         source = self.parties.get((addr[0], addr[1]), "stranger")
-        copies = self.ways.fate(source, self.target, data)
+        copies = self.faulty_network.deliveries(source, self.target, data)
         self.seen(source, self.target, data, len(copies))
         for late_ms, copy in copies:
             if late_ms > 0.0:
@@ -95,8 +99,8 @@
     While the way is cut, connections that stand are silent, both ways and for good; new ones never come up. `hears`
     is given each whole line from the relay; `ended` the end of the relay's side; `said` what reached the relay."""
 
-    def __init__(self, source: str, target: str, inside: Address, ways: Ways) -> None:
-        self.source, self.target, self.inside, self.ways = source, target, inside, ways
+    def __init__(self, source: str, target: str, inside: Address, faulty_network: FaultyNetwork) -> None:
+        self.source, self.target, self.inside, self.faulty_network = source, target, inside, faulty_network
         self.server: asyncio.Server | None = None
         self.pipes: set[Pipe] = set()
         self.hears: Callable[[Pipe, bytes], None] = lambda pipe, line: None
@@ -108,7 +112,8 @@
 
     @property
     def cut(self) -> bool:
-        return self.ways.cut(self.source, self.target) or self.ways.cut(self.target, self.source)
+        network = self.faulty_network
+        return network.is_cut(self.source, self.target) or network.is_cut(self.target, self.source)
 
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.pipes) >= MAX_CONNECTIONS:
--- a/yarrowspindle/lab/processes/world.py
+++ b/yarrowspindle/lab/processes/world.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from random import Random
 
-from yarrowspindle.lab.faults import Fault, Ways, relay_names, schedule
+from yarrowspindle.lab.faults import Fault, FaultyNetwork, relay_names, schedule
 from yarrowspindle.lab.processes.checker import Checker
 from yarrowspindle.lab.processes.fleet import Fleet, FleetConnection
 from yarrowspindle.lab.processes.fleet_messages import Wire
@@ -33,7 +33,7 @@
         self.started = time.monotonic()
         self.random = Random(f"world {run.seed}")
         self.checker = Checker(self.now, run.terms)
-        self.ways = Ways(run.seed)
+        self.faulty_network = FaultyNetwork(run.seed)
         # A net of loopback of its own, so that runs side by side do not meet.
         self.net = f"127.{64 + os.getpid() % 128}.{1 + run.seed % 250}"
         self.used: set[Address] = set()
@@ -87,7 +87,7 @@
         parties = {relay.inside: relay.name for relay in self.relays}
         wires: list[Wire] = []
         for relay in self.relays:
-            proxy = DatagramProxy(relay.name, relay.inside, parties, self.ways, self._datagram)
+            proxy = DatagramProxy(relay.name, relay.inside, parties, self.faulty_network, self._datagram)
             await proxy.open(relay.outside)
             self.datagram_proxies.append(proxy)
             for backend in self.backends.values():
@@ -95,7 +95,7 @@
                 wires.append(Wire(relay.name, backend.name, door))
             inside = self.address(90)
             await self.list.open(relay.name, inside)
-            watch = TcpProxy(relay.name, "list", inside, self.ways)
+            watch = TcpProxy(relay.name, "list", inside, self.faulty_network)
             watch.said = self._list_said
             await watch.open(relay.discovery)
             self.proxies.append(watch)
@@ -139,31 +139,31 @@
     # --- the course of a run --------------------------------------------------------------------
 
     async def inflict(self, fault: Fault) -> None:
-        await asyncio.sleep(fault.at_s)
-        relay = next((relay for relay in self.relays if fault.one == (relay.name,)), self.relays[0])
-        if fault.word == "kill":
+        await asyncio.sleep(fault.start_s)
+        relay = next((relay for relay in self.relays if fault.parties == (relay.name,)), self.relays[0])
+        if fault.kind == "kill":
             await relay.kill()
             if self.run.lose_file and not self.lost and relay.name in self.voters:
                 self.lost = relay.name
                 relay.file.path.unlink()
-            await asyncio.sleep(fault.for_s)
+            await asyncio.sleep(fault.duration_s)
             await relay.start()
-        elif fault.word == "stall":
+        elif fault.kind == "stall":
             relay.pause()
             try:
-                await asyncio.sleep(fault.for_s)
+                await asyncio.sleep(fault.duration_s)
             finally:
                 relay.go_on()
-        elif fault.word == "restart":
+        elif fault.kind == "restart":
             for one in self.relays:
                 await one.restart(0.1)
         else:
-            self.ways.start(fault)
+            self.faulty_network.start(fault)
             await self.fleet.start_fault(fault)
             try:
-                await asyncio.sleep(fault.for_s)
+                await asyncio.sleep(fault.duration_s)
             finally:
-                self.ways.end(fault)
+                self.faulty_network.end(fault)
                 await self.fleet.end_fault(fault)
 
     async def change_backends(self) -> None:
