Seed a pair's random generator once, not for each datagram of the laboratory

Cause: setdefault built and seeded a new generator at each datagram while faults were active, and threw it away.

Change: FaultyNetwork builds it with the pair's first datagram.

--- a/yarrowspindle/lab/faults.py
+++ b/yarrowspindle/lab/faults.py
@@ -220,7 +220,7 @@
         active = [fault for fault in self.active if fault.kind in DATAGRAM_FAULTS]
         if not active:
             return [Delivery(0.0, data)]
-        random = self._randoms.setdefault((source, target), Random(f"{self.seed} {source} {target}"))
+        random = self._random(source, target)
         delay_ms, duplicate_delay_ms = 0.0, list[float]()
         for fault in active:
             if not _befalls(fault, data, random):
@@ -240,6 +240,12 @@
                     data = _with_changed_byte(data, random)
         return [Delivery(delay_ms, data), *(Delivery(delay_ms + later, data) for later in duplicate_delay_ms)]
 
+    def _random(self, source: str, target: str) -> Random:
+        pair = (source, target)
+        if pair not in self._randoms:
+            self._randoms[pair] = Random(f"{self.seed} {source} {target}")
+        return self._randoms[pair]
+
     @staticmethod
     def _cuts(fault: Fault, source: str, target: str) -> bool:
         if fault.kind == "mute":
