Read the kernel's table of sockets in one place in the tests of crossings

Cause: Held.waits and unread each read and split /proc/net/tcp, with states as bare numbers.

Change: tcp_sockets, and names for the two states. No assertion changed.

--- a/tests/daemon/test_crossings.py
+++ b/tests/daemon/test_crossings.py
@@ -31,6 +31,15 @@
     raise AssertionError("it did not come about")
 
 
+ESTABLISHED, SYN_SENT = "01", "02"  # states in /proc/net/tcp
+
+
+def tcp_sockets() -> list[list[str]]:
+    """The rows of /proc/net/tcp: 1 is the local address, 2 the remote one, 3 the state, 4 the bytes unsent:unread."""
+    with Path("/proc/net/tcp").open(encoding="ascii") as table:
+        return [line.split() for line in table]
+
+
 class Held(Server):
     """An execute node to which no connection comes up until it is let go: its accept queue is full."""
 
@@ -44,9 +53,7 @@
 
     def waits(self) -> bool:
         """Whether a connection is on its way here."""
-        with Path("/proc/net/tcp").open(encoding="ascii") as table:
-            rows = [line.split() for line in table]
-        return any(row[2].endswith(f":{self.port:04X}") and row[3] == "02" for row in rows)
+        return any(row[2].endswith(f":{self.port:04X}") and row[3] == SYN_SENT for row in tcp_sockets())
 
     async def let_go(self) -> None:
         self.filler.close()
@@ -59,12 +66,9 @@
 
 def unread(port: int, client: bool = False) -> bool:
     """Whether bytes wait in the kernel, at the server that has this port or at a client of it."""
-    with Path("/proc/net/tcp").open(encoding="ascii") as table:
-        rows = [line.split() for line in table]
     address = 2 if client else 1
-    return any(
-        row[address].endswith(f":{port:04X}") and int(row[4].split(":")[1], 16) > 0 for row in rows if row[3] == "01"
-    )
+    rows = [row for row in tcp_sockets() if row[3] == ESTABLISHED and row[address].endswith(f":{port:04X}")]
+    return any(int(row[4].split(":")[1], 16) > 0 for row in rows)
 
 
 async def listed(w: World, **phases: str) -> None:
