--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -274,11 +274,12 @@
     assert told["requests"] > 300 and told["pairs_covered"] == 1, text  # type: ignore[operator]
 
 
-# Ends and holds; the same with a crowd; failing accepts with a crowd.
+# Ends and holds; the same with a crowd; failing accepts with a crowd; relays that are stopped, and clients that rest.
 SHORT_SOAKS = (
     ("--seed", "9106", "--faults", "term,stop,hup"),
     ("--seed", "9103", "--faults", "term,kill,freeze"),
     ("--seed", "9305", "--faults", "term,calls,leave"),
+    ("--seed", "7408", "--seconds", "12"),
 )
 
 
