Report a rejection after an attempt that may have run as a violated invariant

Change: the guard keeps for each request whether a forwarded attempt has ended in a way that does not prove that it never ran, and counts a RejectRequest after that as safe_rejection unless the class is idempotent. Eight cases in tests/telemetry/test_guard.py.

--- a/tests/telemetry/test_guard.py
+++ b/tests/telemetry/test_guard.py
@@ -8,6 +8,7 @@
 
 from tests.helpers import settings
 from yarrowspindle.decisions.events import EndpointState, ListKind
+from yarrowspindle.decisions.settings import Idempotency, RequestClass
 from yarrowspindle.routing.effects import (
     AbortAttempt,
     FailRequest,
@@ -39,6 +40,10 @@
     ForwardRequest(1, 0, 900.0),
     StartRelaying(1),
 )
+KEYED, UNREPEATABLE = (RequestReceived(1, 900.0, request_class, client_request_id="id-1") for request_class in (1, 2))
+RESET, REJECT = AttemptEnded(1, 0, TerminationReason.CONNECTION_RESET), RejectRequest(1, 0.0)
+CONNECT_AGAIN = OpenBackendConnection(1, 1, "s-2", ADDRESS, 9.0)
+REJECTED_AGAIN = AttemptEnded(1, 1, TerminationReason.REJECTED)
 CASES: dict[str, tuple[list[Any], Rule | None]] = {
     "established": ([RECEIVED, CONNECT, FORWARD, RELAY], None),
     "retried": (
@@ -54,6 +59,23 @@
     ),
     "aborted and rejected": ([RECEIVED, CONNECT, AbortAttempt(1, 0), RejectRequest(1, 0.0)], None),
     "client disconnected": ([RECEIVED, CONNECT, ClientDisconnected(1)], None),
+    "reset and rejected, idempotent": ([RECEIVED, CONNECT, FORWARD, RESET, REJECT], None),
+    "reset and rejected, keyed": ([KEYED, CONNECT, FORWARD, RESET, REJECT], Rule.SAFE_REJECTION),
+    "reset and rejected": ([UNREPEATABLE, CONNECT, FORWARD, RESET, REJECT], Rule.SAFE_REJECTION),
+    "reset and failed": ([UNREPEATABLE, CONNECT, FORWARD, RESET, FailRequest(1)], None),
+    "reset before it was forwarded and rejected": ([UNREPEATABLE, CONNECT, RESET, REJECT], None),
+    "aborted after it was forwarded and rejected": (
+        [UNREPEATABLE, CONNECT, FORWARD, AbortAttempt(1, 0), REJECT],
+        Rule.SAFE_REJECTION,
+    ),
+    "reset at the first backend, rejected at the second": (
+        [UNREPEATABLE, CONNECT, FORWARD, RESET, CONNECT_AGAIN, ForwardRequest(1, 1, 9.0), REJECTED_AGAIN, REJECT],
+        Rule.SAFE_REJECTION,
+    ),
+    "rejected by its backend": (
+        [UNREPEATABLE, CONNECT, FORWARD, AttemptEnded(1, 0, TerminationReason.REJECTED), REJECT],
+        None,
+    ),
     "answered twice": ([RECEIVED, CONNECT, FORWARD, RELAY, FailRequest(1)], Rule.ONE_FINAL_ANSWER),
     "two attempts in flight": (
         [RECEIVED, CONNECT, OpenBackendConnection(1, 1, "s-2", ADDRESS, 9.0)],
@@ -73,7 +95,13 @@
 
 def started_guard() -> tuple[Guard, list[str]]:
     reported: list[str] = []
-    values = settings(warmup_ms=1000.0, initial_capacity_fraction=0.2, overload_multiple=2.0, overload_window_ms=1000.0)
+    values = settings(
+        classes=tuple(RequestClass(500.0, 2000.0, idempotency) for idempotency in Idempotency),
+        warmup_ms=1000.0,
+        initial_capacity_fraction=0.2,
+        overload_multiple=2.0,
+        overload_window_ms=1000.0,
+    )
     checker = Guard(lambda: values, reported.append)
     checker.on_event(0.0, EndpointsUpdated(ListKind.FULL, list(ENDPOINTS)))
     return checker, reported
--- a/yarrowspindle/telemetry/guard.py
+++ b/yarrowspindle/telemetry/guard.py
@@ -13,8 +13,8 @@
 from math import inf
 from typing import Any
 
-from yarrowspindle.decisions.events import EndpointState, ListKind
-from yarrowspindle.decisions.settings import Settings
+from yarrowspindle.decisions.events import NEVER_RAN, EndpointState, ListKind
+from yarrowspindle.decisions.settings import Idempotency, Settings
 from yarrowspindle.routing.effects import (
     AbortAttempt,
     Effect,
@@ -34,6 +34,7 @@
     RequestReceived,
     TimerFired,
 )
+from yarrowspindle.routing.termination import OUTCOMES
 from yarrowspindle.telemetry.warmup_share import WarmupShare
 
 MAX_ANSWER_DELAY_MS = 500.0  # after the deadline; without an answer by then, UNANSWERED is violated
@@ -52,6 +53,9 @@
     DEADLINE = "deadline"  # no request is forwarded after its deadline
     SLOW_START = "slow_start"  # a backend that is warming up does not exceed its share of requests
     UNANSWERED = "unanswered"  # each request that was received is answered
+    # A rejection tells the client that a retry is safe: never after an attempt that may have run, unless the request's
+    # class is idempotent.
+    SAFE_REJECTION = "safe_rejection"
 
 
 class PendingRequest:
@@ -64,18 +68,34 @@
         attempt: number of the attempt in flight; None if there is none.
         backend: name of the backend of the last attempt.
         started_ms: start time of that backend as listed when the attempt began; 0 if unknown.
+        forwarded: whether the request was forwarded to that backend in the attempt in flight.
+        may_have_run: whether an attempt that has ended may have run.
         violated: the rules that were violated for this request.
     """
 
-    __slots__ = ("id", "deadline", "existing_connection", "attempt", "backend", "started_ms", "violated")
-
-    def __init__(self, id: str, deadline: float, existing_connection: bool) -> None:
+    __slots__ = (
+        "id",
+        "deadline",
+        "existing_connection",
+        "request_class",
+        "attempt",
+        "backend",
+        "started_ms",
+        "forwarded",
+        "may_have_run",
+        "violated",
+    )
+
+    def __init__(self, id: str, deadline: float, existing_connection: bool, request_class: int) -> None:
         self.id = id
         self.deadline = deadline
         self.existing_connection = existing_connection
+        self.request_class = request_class
         self.attempt: int | None = None
         self.backend = ""
         self.started_ms = 0.0
+        self.forwarded = False
+        self.may_have_run = False
         self.violated: tuple[Rule, ...] = ()
 
 
@@ -107,9 +127,9 @@
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
             OpenBackendConnection: self._on_open_backend_connection,
             ForwardRequest: self._on_forward_request,
-            AbortAttempt: self._on_attempt_ended,
+            AbortAttempt: self._on_abort_attempt,
             StartRelaying: self._on_answer,
-            RejectRequest: self._on_answer,
+            RejectRequest: self._on_reject_request,
             FailRequest: self._on_answer,
         }
 
@@ -140,7 +160,7 @@
         existing_connection = bool(event.previous_backend)
         deadline = inf if existing_connection else self.now + event.remaining_ms
         id = event.client_request_id or str(event.request)
-        self._pending[event.request] = PendingRequest(id, deadline, existing_connection)
+        self._pending[event.request] = PendingRequest(id, deadline, existing_connection, event.request_class)
 
     def _on_client_disconnected(self, event: ClientDisconnected) -> None:
         self._pending.pop(event.request, None)
@@ -167,6 +187,7 @@
         if self.now > request.deadline:
             text = f"forwarded {self.now - request.deadline:.0f} ms after its deadline"
             self._violation(Rule.DEADLINE, request, text)
+        request.forwarded = True
         if not request.existing_connection:
             self._check_backend(request)
 
@@ -181,10 +202,29 @@
         if excess is not None:
             self._violation(Rule.SLOW_START, request, excess)
 
-    def _on_attempt_ended(self, ended: AttemptEnded | AbortAttempt) -> None:
-        request = self._pending.get(ended.request)
-        if request is not None and request.attempt == ended.attempt:
-            request.attempt = None
+    def _on_attempt_ended(self, event: AttemptEnded) -> None:
+        self._end_attempt(event.request, event.attempt, OUTCOMES[event.reason] not in NEVER_RAN)
+
+    def _on_abort_attempt(self, effect: AbortAttempt) -> None:
+        self._end_attempt(effect.request, effect.attempt, True)
+
+    def _end_attempt(self, request_id: int, attempt: int, may_have_run_if_forwarded: bool) -> None:
+        request = self._pending.get(request_id)
+        if request is None or request.attempt != attempt:
+            return
+        request.attempt = None
+        if request.forwarded and may_have_run_if_forwarded:
+            request.may_have_run = True
+        request.forwarded = False
+
+    def _on_reject_request(self, effect: RejectRequest) -> None:
+        request = self._pending.get(effect.request)
+        if request is not None and request.may_have_run:
+            idempotency = self._settings().classes[request.request_class].idempotency
+            if idempotency is not Idempotency.IDEMPOTENT:
+                text = f"rejected after an attempt at backend={request.backend} that may have run"
+                self._violation(Rule.SAFE_REJECTION, request, text)
+        self._on_answer(effect)
 
     def _on_answer(self, effect: StartRelaying | RejectRequest | FailRequest) -> None:
         if self._pending.pop(effect.request, None) is None:
