Do not reject a returning request that may have run at its previous backend

What callers saw: a client that returned with at= after a restart was answered BUSY ('refused: trying again is harmless') although its backend had begun to set its connection up and then died.

Cause: Attempts.end answers a request with an existing connection itself, since the balancer does not know it yet, and did so with RejectRequest whatever the outcome and the class. All other requests go through request_gate.is_retry_safe.

Change: that answer asks the same gate. It may have run if it was forwarded and its outcome is not one of NEVER_RAN; then it is FailRequest (ERR) with reason may_have_run, unless the class is idempotent. What was not sent is rejected as before.

Why it works: every end of such an attempt passes through Attempts.end, and what proves that it never ran is decided by the outcome there and not by the caller.

--- a/yarrowspindle/routing/attempts.py
+++ b/yarrowspindle/routing/attempts.py
@@ -14,7 +14,7 @@
 from yarrowspindle.decisions import actions
 from yarrowspindle.decisions import events as balancer_events
 from yarrowspindle.decisions import request_gate as gate
-from yarrowspindle.decisions.events import EndpointState, Outcome
+from yarrowspindle.decisions.events import NEVER_RAN, EndpointState, Outcome
 from yarrowspindle.decisions.rejection import RejectionReason
 from yarrowspindle.routing.context import RoutingContext
 from yarrowspindle.routing.effects import (
@@ -173,6 +173,7 @@
         rebalancer = self._context.rebalancer
         if rebalancer is not None:
             self._report_to_rebalancer(rebalancer, request, backend, reason, finished)
+        may_have_run = request.phase is Phase.AWAITING_RESPONSE and OUTCOMES[reason] not in NEVER_RAN
         if finished:
             self.finish(request)
         else:
@@ -189,7 +190,18 @@
             # After a restart all existing connections return at once, which may be more than a backend accepts at once.
             self._context.effects.append(SetTimer(RECONNECT_DELAY_MS, (RECONNECT_TIMER, request.id)))
         elif not finished:
+            self._answer_failed_reconnect(request, may_have_run)
+
+    def _answer_failed_reconnect(self, request: Request, may_have_run: bool) -> None:
+        """Send the final answer for an existing connection that its previous backend did not re-establish.
+
+        The balancer does not know the request yet, and no other backend may serve it.
+        """
+        idempotency = self._context.settings.classes[request.received.request_class].idempotency
+        if gate.is_retry_safe(idempotency, may_have_run):
             self.answer(request.id, RejectRequest(request.id, 0.0, RejectionReason.NO_USABLE_BACKEND))
+        else:
+            self.answer(request.id, FailRequest(request.id, RejectionReason.MAY_HAVE_RUN))
 
     def _report_to_rebalancer(
         self, rebalancer: Rebalancer, request: Request, backend: Backend, reason: TerminationReason, finished: bool
