Forward complete lines only, so that no peer reads half a line

Cause: BackendConnection._forward wrote data to the client as it came. Whatever then ended the connection found the client within a line, and _finish_migration ended the line itself (CRLF, MOVE). Without it the client would be cut off without MOVE, and other ends (reset, close, a long line, a client that leaves) left half a line all the same, in both directions.

Change: both sides split what they receive and forward complete lines (LineConnection.forward_lines); at most 4 KiB waits for its rest. MOVE always goes between two lines. A migration still waits up to 0.5 s for the rest of a line and then drops it; a DEBUG line says so. A line over 4 KiB ends an established connection with MOVE; before, a backend's ended it without, and a client's was passed on without a limit.

Why it works: the state 'the peer is within a line' no longer exists on any path, so no end has to repair it.

--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -239,6 +239,7 @@
 
     def client_connection_lost(self, side: ClientConnection) -> None:
         """Forget the connection, and its request if that has not ended."""
+        self._log_incomplete_line(side, side.request, "client")
         self.limiter.on_closed(side)
         if self.clients.get(side.request) is side:
             self._forget(side.request)
@@ -248,6 +249,12 @@
         self.limiter.on_answered(side)
         self.log_warning(reason)
 
+    def line_rejected(self, side: ClientConnection, reason: str) -> None:
+        """Count the connection as answered, log the reason why it was ended, and end its request."""
+        self.limiter.on_answered(side)
+        self.log_warning(f"a client sent {reason}; closing the connection")
+        self.service.post(ClientDisconnected(side.request))
+
     def idle_client_closed(self, side: ClientConnection) -> None:
         """Log the close of a client connection without a request, and count it as answered."""
         self._log_idle_close(side, self.idle_close_reason)
@@ -307,8 +314,17 @@
 
     def backend_connection_lost(self, side: BackendConnection) -> None:
         """Forget the connection."""
+        self._log_incomplete_line(side, side.request, f"backend={side.backend}")
         self.limiter.on_closed(side)
 
+    @staticmethod
+    def _log_incomplete_line(side: LineConnection, request: int, sender: str) -> None:
+        """Log the line that the end of a connection left incomplete and that was not forwarded, if there is one."""
+        if not side.lines.at_boundary:
+            logger.debug(
+                "number={} dropped an incomplete line of {} bytes from {}", request, len(side.lines.rest), sender
+            )
+
     def attempt_ended(self, side: BackendConnection, reason: TerminationReason) -> None:
         """Post that the attempt ended, with the reason."""
         if self.backends.get(side.request) is side:
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
+from itertools import takewhile
 
 MAX_LINE_BYTES = 4096
 CRLF = b"\r\n"
@@ -25,6 +26,18 @@
     """A line that violates the line protocol."""
 
 
+class LineTooLongError(LineError):
+    """A line that exceeds MAX_LINE_BYTES.
+
+    Attributes:
+        lines_before: The lines before it that the same call of `LineSplitter.feed` completed.
+    """
+
+    def __init__(self, lines_before: list[bytes]) -> None:
+        super().__init__(f"a line longer than {MAX_LINE_BYTES} bytes")
+        self.lines_before = lines_before
+
+
 @dataclass(slots=True, frozen=True)
 class OpenRequest:
     """A client's request, as stated in its OPEN line.
@@ -197,6 +210,11 @@
     return tuple(values[name] for name in fields) if values.keys() >= set(fields) else ()
 
 
+def join_lines(lines: list[bytes]) -> bytes:
+    """Return the bytes of these lines, each with its CRLF."""
+    return CRLF.join([*lines, b""])
+
+
 class LineSplitter:
     """Splitter of a byte stream into lines without their CRLF; the incomplete last line is kept in `rest`."""
 
@@ -206,12 +224,12 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the lines that these bytes complete. Raise LineError if a line exceeds MAX_LINE_BYTES."""
+        """Return the lines that these bytes complete. Raise LineTooLongError if a line exceeds MAX_LINE_BYTES."""
         if self.rest:
             data = self.rest + data
         *lines, self.rest = data.split(CRLF)
         if len(self.rest) > MAX_LINE_BYTES or any(len(line) > MAX_LINE_BYTES for line in lines):
-            raise LineError(f"a line longer than {MAX_LINE_BYTES} bytes")
+            raise LineTooLongError(list(takewhile(lambda line: len(line) <= MAX_LINE_BYTES, lines)))
         return lines
 
     @property
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -6,12 +6,12 @@
 from typing import Protocol
 
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, LineKind, LineSplitter, parse_line_kind, parse_load
+from yarrowspindle.protocol.lines import LineError, LineKind, LineTooLongError, join_lines, parse_line_kind, parse_load
 from yarrowspindle.routing.termination import TerminationReason
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 from yarrowspindle.transport.line_connection import LineConnection
 
-MIGRATION_LINE_TIMEOUT_S = 0.5  # to receive the rest of a line that MOVE must not interrupt
+MIGRATION_LINE_TIMEOUT_S = 0.5  # to receive the rest of a line that would be lost otherwise
 
 TERMINATION_REASONS = {
     LineKind.BYE: TerminationReason.COMPLETED,
@@ -56,7 +56,6 @@
         backend: The backend's name.
 
     Attributes:
-        lines: Splits the backend's data into lines.
         up_line: The UP line, as received.
         early_data: Data received after the UP line, until relaying starts.
         request_sent: Whether the request was written.
@@ -70,7 +69,6 @@
     def __init__(self, sink: BackendSink, request: int, attempt: int, backend: str = "") -> None:
         super().__init__()
         self.sink, self.request, self.attempt, self.backend = sink, request, attempt, backend
-        self.lines = LineSplitter()
         self.up_line = b""
         self.early_data = b""
         self.request_sent = self.accepted = self.end_reported = False
@@ -136,18 +134,27 @@
         if self.other is None:
             self.early_data += data
             return
-        if self.migrating_client is not None:
-            self._forward_rest_of_line(data)
-            return
-        self.other.write(data)
         try:
             complete = self.lines.feed(data)
-        except LineError as error:
-            self.sink.log_warning(f"backend {self.backend} sent {error}; closing the connection")
-            self._end(TerminationReason.CONNECTION_RESET)
+        except LineTooLongError as error:
+            self.forward_lines(error.lines_before)
+            self._end_because_of_line(error)
+            return
+        if self.migrating_client is not None:
+            self._forward_last_line(complete)
             return
+        self.forward_lines(complete)
         self._report(complete)
 
+    def _end_because_of_line(self, error: LineError) -> None:
+        """End an established connection because of an invalid line of the backend."""
+        self.sink.log_warning(f"backend {self.backend} sent {error}; closing the connection")
+        if self.migrating_client is not None:
+            self._finish_migration()
+        elif self.other is not None:
+            self.other.finish(lines.MOVE)  # the backend may still answer, so the client is not cut off without a word
+        self._end(TerminationReason.CONNECTION_RESET)
+
     def _report(self, complete: list[bytes]) -> None:
         """Report loads, then the number of forwarded lines, unless a report ends the connection before."""
         loads: list[float] = []
@@ -168,19 +175,17 @@
             self.sink.backend_data_forwarded(self.request, answers)
 
     def migrate(self, client: LineConnection) -> None:
-        """Migrate the client: at once if no line is incomplete, otherwise after the rest of the line."""
+        """Migrate the client: at once if no line is incomplete, otherwise after its rest or a time-out."""
         self.migrating_client = client
         if self.lines.at_boundary:
             self._finish_migration()
         else:
             self.migration_timer = InactivityTimer(MIGRATION_LINE_TIMEOUT_S, self._finish_migration)
 
-    def _forward_rest_of_line(self, data: bytes) -> None:
-        end = data.find(b"\n") + 1
-        if self.migrating_client is not None:
-            self.migrating_client.write(data[:end] if end else data)
-        if end:
-            self.lines.rest = b""
+    def _forward_last_line(self, complete: list[bytes]) -> None:
+        """Forward the line for which a migration waits, once it is complete; drop what follows."""
+        if complete and self.migrating_client is not None:
+            self.migrating_client.write(join_lines(complete[:1]))
             self._finish_migration()
 
     def finish_migration_now(self) -> None:
@@ -193,7 +198,7 @@
             self.migration_timer.cancel()
             self.migration_timer = None
         if self.migrating_client is not None:
-            self.migrating_client.finish(lines.MOVE if self.lines.at_boundary else lines.CRLF + lines.MOVE)
+            self.migrating_client.finish(lines.MOVE)
             self.migrating_client = None
         self.end_reported = True
         self.finish()
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, OpeningReader, OpenRequest
+from yarrowspindle.protocol.lines import LineError, LineTooLongError, OpeningReader, OpenRequest
 from yarrowspindle.transport.inactivity_timer import InactivityTimer, half_close_unless_readable
 from yarrowspindle.transport.line_connection import LineConnection
 
@@ -40,6 +40,9 @@
     def first_line_rejected(self, side: ClientConnection, reason: str) -> None:
         """Handle a connection that was ended because of an invalid first line."""
 
+    def line_rejected(self, side: ClientConnection, reason: str) -> None:
+        """Handle an established connection that was ended because of an invalid line, as if the client had left."""
+
     def idle_client_closed(self, side: ClientConnection) -> None:
         """Handle a connection that was ended because no first line arrived."""
 
@@ -78,13 +81,28 @@
         if self.closing:
             self.discarded_bytes += len(data)
         elif self.other is not None:
-            self.other.write(data)
-            self.sink.client_data_forwarded(self.request, data.count(b"\n"))
+            self._forward(data)
         elif self.request:  # the client has to wait for the answer; its data is neither buffered nor forwarded
             self.sink.unexpected_client_data(self.request)
         else:
             self._read_first_line(data)
 
+    def _forward(self, data: bytes) -> None:
+        try:
+            complete = self.lines.feed(data)
+        except LineTooLongError as error:
+            self.forward_lines(error.lines_before)
+            self._end_because_of_line(error)
+            return
+        self.forward_lines(complete)
+        self.sink.client_data_forwarded(self.request, len(complete))
+
+    def _end_because_of_line(self, error: LineError) -> None:
+        """End an established connection because of an invalid line of the client."""
+        self.disconnect_reported = True
+        self.finish(lines.MOVE)  # the only line of its own that the relay may send on an established connection
+        self.sink.line_rejected(self, str(error))
+
     def _read_first_line(self, data: bytes) -> None:
         try:
             answers, opened = self.opening.feed(data, self.sink.ready())
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from typing import Any, cast
 
+from yarrowspindle.protocol.lines import LineSplitter, join_lines
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 
 LINGER_INTERVAL_S = 0.5  # after closing our sending direction, for a peer that sends nothing to close as well
@@ -26,6 +27,7 @@
     Attributes:
         transport: The transport; None before the connection is made and after it is lost.
         other: The other side, while both sides relay.
+        lines: Splits the peer's data into lines, and holds an incomplete line until its rest arrives.
         closing: Whether our sending direction is closed; received data is discarded then.
         discarded_bytes: The number of bytes discarded.
         linger_timer: Runs until the next check of the peer after our sending direction was closed.
@@ -37,6 +39,7 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.other: LineConnection | None = None
+        self.lines = LineSplitter()
         self.closing = False
         self.discarded_bytes = 0
         self.linger_timer: InactivityTimer | None = None
@@ -68,6 +71,15 @@
         if transport is not None and not self.closing:
             transport.write(data)
 
+    def forward_lines(self, lines: list[bytes]) -> None:
+        """Send lines of this side's peer to the other side.
+
+        Only complete lines are forwarded. The relay can then send MOVE at any time, and whatever ends the connection,
+        no peer takes part of a line for a whole one.
+        """
+        if lines and self.other is not None:
+            self.other.write(join_lines(lines))
+
     def pause_writing(self) -> None:
         """Stop reading from the other side, as the peer of this side does not keep up."""
         if self.other is not None and (transport := self.other.open_transport):
