Do not pass half a line of a broken backend on as a message of the library

What callers saw: websockets and event streams of relay_websocket and relay_events got the half line of a backend that closed its connection within it as their last message, and the websocket was closed with 1000.

Cause: LineLink.read returned what readline gives at the end of the stream, with or without the end of the line.

Change: it raises ConnectionError then, as for a reset; the websocket is closed with 1011, the placement ends as CONNECTION_RESET.

Evidence: the new test of tests/middleware fails in 2 of 4 cases without the change and passes with it. Why it works: a line without its end is no message, whatever ended the connection.

--- a/tests/middleware/test_middleware.py
+++ b/tests/middleware/test_middleware.py
@@ -17,6 +17,7 @@
 from starlette.websockets import WebSocket
 
 from tests.helpers import settings
+from tests.ports import free_port
 from yarrowspindle.decisions.events import EndpointState
 from yarrowspindle.decisions.settings import RequestClass
 from yarrowspindle.library import (
@@ -28,7 +29,7 @@
     Rejected,
     StaticList,
 )
-from yarrowspindle.middleware import PlacementMiddleware, reach, relay_websocket
+from yarrowspindle.middleware import PlacementMiddleware, reach, relay_events, relay_websocket
 from yarrowspindle.runtime import SystemClock
 
 STREAM = [(b"accept", b"text/event-stream")]
@@ -303,6 +304,51 @@
     run(body, EndpointState.READY, EndpointState.READY)
 
 
+@pytest.mark.parametrize("stream", ["websocket", "event stream"])
+@pytest.mark.parametrize(("rest", "code"), [(b"ne\r\n", 1000), (b"", 1011)], ids=("whole line", "half a line"))
+def test_a_backend_that_ends_within_a_line_sends_no_message(stream: str, rest: bytes, code: int) -> None:
+    """Guard against half a line of a broken backend that a client receives as a whole message."""
+
+    async def body() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"first\r\na li" + rest)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", free_port())
+        source = StaticList([Endpoint("s-1", server.sockets[0].getsockname()[:2])])
+        async with Placer(LibrarySettings(), source, seed=3) as placer:
+            if stream == "websocket":
+                received, last = await websocket_messages(placer)
+                assert last == code
+            else:
+                async with placer.place() as placement:
+                    link = await reach(placement)
+                    placement.up()
+                    received = [event.decode() async for event in relay_events(placement, link)]
+            whole = ["first", "a line"][: 1 + bool(rest)]
+            assert received == (whole if stream == "websocket" else [f"data: {message}\n\n" for message in whole])
+        server.close()
+
+    asyncio.run(body())
+
+
+async def websocket_messages(placer: Placer) -> tuple[list[str], int]:
+    """Return the messages that a websocket receives over `relay_websocket`, and the code that closes it."""
+
+    async def endpoint(websocket: WebSocket) -> None:
+        await relay_websocket(websocket, websocket.scope["yarrowspindle"])
+
+    wrapped = PlacementMiddleware(Starlette(routes=[WebSocketRoute("/plan", endpoint)]), placer)
+    client = Client(wrapped, type="websocket", scheme="ws")
+    client.inbox.put_nowait({"type": "websocket.connect"})
+    assert (await client.next())["type"] == "websocket.accept"
+    received = []
+    while (message := await client.next())["type"] == "websocket.send":
+        received.append(message["text"])
+    await client.task
+    return received, message["code"]
+
+
 class JumpingClock:
     """The system clock with jumps, each of which simulates an event loop that was blocked for that time."""
 
--- a/yarrowspindle/middleware/streams.py
+++ b/yarrowspindle/middleware/streams.py
@@ -32,7 +32,7 @@
         """Return the next message; None if the backend has closed the connection.
 
         Raises:
-            OSError: The connection was reset.
+            OSError: The connection was reset, or closed within a message.
         """
 
     async def write(self, message: str) -> None:
@@ -59,6 +59,8 @@
             line = await self.reader.readline()
         except ValueError as error:
             raise ConnectionError(f"the backend sent a line of more than {MAX_LINE_BYTES} bytes") from error
+        if line and not line.endswith(b"\n"):
+            raise ConnectionError("the backend closed the connection within a line")
         return line.decode("utf-8", "replace").rstrip("\r\n") if line else None
 
     async def write(self, message: str) -> None:
