Do not count an attempt of the library as never sent after the host was allowed to send

Cause: Placement.failed() and unreachable() take CONNECT_FAILED ('never ran') by default, also after the request may have been sent. The middleware answered Failed, 'may have run', with 503 and Retry-After, as it does a rejection.

Change: a placement remembers whether its attempt was forwarded; the default is CONNECTION_RESET then, and the request is tried again only if it is idempotent. Failed is answered with 502 (websocket: 1011), without Retry-After.

--- a/tests/library/test_library.py
+++ b/tests/library/test_library.py
@@ -14,13 +14,16 @@
 
 from benchmarks.library import record_sequence, replay_both, run_with_stalls
 from examples.plan_status import run_demo
+from tests.helpers import settings as balancer_settings
 from tests.stand_ins import LineServer
 from yarrowspindle.decisions.events import EndpointState, ListKind
+from yarrowspindle.decisions.settings import Idempotency, RequestClass
 from yarrowspindle.library import (
     BackendDropped,
     CallbackList,
     ConnectionClass,
     Endpoint,
+    Failed,
     LibrarySettings,
     Placer,
     PlacerClosed,
@@ -88,6 +91,32 @@
     run(body)
 
 
+@pytest.mark.parametrize("idempotency", list(Idempotency))
+@pytest.mark.parametrize("reached", [True, False])
+def test_a_request_that_may_have_run_is_tried_again_only_if_it_is_idempotent(
+    reached: bool, idempotency: Idempotency
+) -> None:
+    """Guard against a request that runs twice since its host reports a failure after `reached` without an ending."""
+
+    async def body() -> None:
+        classes = (RequestClass(100.0, 400.0, idempotency),)
+        placer = Placer(balancer_settings(classes=classes), StaticList(ENDPOINTS), seed=3)
+        async with placer, placer.place() as placement:
+            first = placement.backend
+            if reached:
+                placement.reached()
+            if reached and idempotency is not Idempotency.IDEMPOTENT:
+                with pytest.raises(Failed):
+                    await placement.failed()
+                return
+            await placement.failed()
+            assert placement.backend != first
+            placement.reached()
+            placement.up()
+
+    asyncio.run(body())
+
+
 @pytest.mark.parametrize("stalled_ms", [300.0, 2000.0, 10_000.0])
 def test_a_stall_of_the_event_loop_answers_once_counts_no_backend_failure_and_is_counted(stalled_ms: float) -> None:
     clock = JumpingClock()
--- a/tests/middleware/test_middleware.py
+++ b/tests/middleware/test_middleware.py
@@ -19,7 +19,7 @@
 from tests.helpers import settings
 from tests.ports import free_port
 from yarrowspindle.decisions.events import EndpointState
-from yarrowspindle.decisions.settings import RequestClass
+from yarrowspindle.decisions.settings import Idempotency, RequestClass
 from yarrowspindle.library import (
     ConnectionClass,
     Endpoint,
@@ -250,6 +250,35 @@
     run(body, EndpointState.READY)
 
 
+@pytest.mark.parametrize("idempotency", list(Idempotency))
+@pytest.mark.parametrize("scope_type", ["http", "websocket"])
+def test_an_application_that_gives_up_after_it_sent_the_request_is_run_again_only_if_that_is_safe(
+    scope_type: str, idempotency: Idempotency
+) -> None:
+    """Guard against a request that runs at two backends, or whose client is told when to retry although it may have."""
+
+    async def body() -> None:
+        tried: list[str] = []
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            placement: Placement = scope["yarrowspindle"]
+            tried.append(placement.backend)
+            placement.reached()
+            raise placement.unreachable()
+
+        classes = (RequestClass(100.0, 400.0, idempotency),)
+        source = StaticList(endpoints(EndpointState.READY, EndpointState.READY))
+        async with Placer(settings(classes=classes, max_attempts=2), source, seed=3) as placer:
+            extensions: dict[str, Any] = {"websocket.http.response": {}}
+            answer = await Client(PlacementMiddleware(app, placer), type=scope_type, extensions=extensions).next()
+        is_safe = idempotency is Idempotency.IDEMPOTENT
+        assert len(tried) == (2 if is_safe else 1)
+        assert answer["status"] == (503 if is_safe else 502)
+        assert (b"retry-after" in dict(answer["headers"])) is is_safe
+
+    asyncio.run(body())
+
+
 class FakeLink:
     """The link of `relay_websocket` to a backend that echoes each message."""
 
--- a/yarrowspindle/library/placement.py
+++ b/yarrowspindle/library/placement.py
@@ -51,6 +51,8 @@
         is_up: Whether the connection is established, which is the final answer of the request.
         over: Whether the request has ended, so that the host has nothing more to report.
         dropped: Whether the backend of this attempt may no longer be used.
+        reported_unreachable: Whether the host gave up on the backend of this attempt with `unreachable`.
+        forwarded: Whether the host was allowed to send the request in this attempt, which may have run since then.
         ending: The reason why the backend connection ended; set by the host.
         answer: The final answer if it is a rejection or a failure.
         next: The backend that the balancer has chosen for the next attempt while the host still uses the last one.
@@ -68,6 +70,8 @@
     is_up = False
     over = False
     dropped = False
+    reported_unreachable = False
+    forwarded = False
     reason: TerminationReason | None = None
     ending: TerminationReason | None = None
     answer: RejectRequest | FailRequest | None = None
@@ -127,13 +131,14 @@
             if not self.is_up:  # the deadline passed or the backend began to drain before
                 self._check_usable()
 
-    async def failed(self, ending: TerminationReason = TerminationReason.CONNECT_FAILED) -> None:
+    async def failed(self, ending: TerminationReason | None = None) -> None:
         """Report that the backend could not be used, and switch to another one; `address` is then that backend's.
 
         After `up`, the request ends instead, and the client has to reconnect.
 
         Args:
-            ending: The reason why the attempt ended.
+            ending: The reason why the attempt ended; by default CONNECT_FAILED, or CONNECTION_RESET after `reached`,
+                since the request may have run then.
 
         Raises:
             Rejected: No other backend is available.
@@ -144,6 +149,7 @@
         self.raise_answer()
         if self.over:
             return
+        ending = ending or self.failure
         if self.is_up:
             self.end(ending)
         elif self.next is not None:  # the balancer has already chosen another backend
@@ -153,10 +159,19 @@
             await self.placer.attempt(self, event)
 
     def unreachable(self) -> BackendUnreachable:
-        """Return the error that an application raises before its response starts, so that another backend is tried."""
-        self.ending = TerminationReason.CONNECT_FAILED
+        """Return the error that an application raises before its response starts, so that another backend is tried.
+
+        After `reached`, no other backend is tried unless the class of the request is idempotent.
+        """
+        self.ending = self.failure
+        self.reported_unreachable = True
         return BackendUnreachable(self.backend)
 
+    @property
+    def failure(self) -> TerminationReason:
+        """The reason why an attempt has failed if the host names none."""
+        return TerminationReason.CONNECTION_RESET if self.forwarded else TerminationReason.CONNECT_FAILED
+
     def load(self, load: float) -> None:
         """Report the current load of the connection, in milliseconds of work per second."""
         if self.is_up and not self.over:
@@ -270,7 +285,8 @@
         self.ask_to_end(reason)
 
     def _on_forward(self, effect: ForwardRequest) -> None:
-        """Do nothing, because the host sends the request itself."""
+        """Record that the host, which sends the request itself, is about to do so."""
+        self.forwarded = True
 
     def use_next(self) -> None:
         """Switch to the backend that the balancer chose for the next attempt.
@@ -284,6 +300,7 @@
             self.raise_answer()
             raise PlacerClosed("the placer is closing")
         effect, self.next = self.next, None
+        self.reported_unreachable = self.forwarded = False
         self.backend = effect.backend
         self.address = effect.address
         self.attempt = effect.attempt
--- a/yarrowspindle/middleware/asgi.py
+++ b/yarrowspindle/middleware/asgi.py
@@ -1,8 +1,8 @@
 """Place each long-lived scope of an ASGI application (Starlette, FastAPI or any other) on a backend.
 
 The application gets its Placement from `scope["yarrowspindle"]` and connects to the backend itself. A scope that cannot
-be placed is answered with 503 and Retry-After. A websocket is closed with 1013 before it is accepted if the server does
-not support the ASGI extension `websocket.http.response`.
+be placed is answered with 503 and Retry-After, and one that may have run at a backend with 502. A websocket is closed
+with 1013 or 1011 before it is accepted if the server does not support the ASGI extension `websocket.http.response`.
 """
 
 from __future__ import annotations
@@ -41,7 +41,9 @@
 MAX_WS_REASON_CHARACTERS = 100
 FIRST_ERROR_STATUS = 400
 DEFAULT_RETRY_AFTER_S = 1.0
+WS_INTERNAL_ERROR = 1011
 REJECTION_BODY = b"no execute node has room\n"  # published, so that it does not change
+FAILURE_BODY = b"the request failed and may have run\n"
 PLACE_ARGUMENTS = frozenset(("key", "group", "load", "deadline", "cls", "tenant", "returned"))
 
 
@@ -138,7 +140,7 @@
                     raise
             if not isinstance(interceptor.error, Rejected | Failed | PlacerClosed):
                 try:
-                    ending, placement.ending = placement.ending or TerminationReason.CONNECT_FAILED, None
+                    ending, placement.ending = placement.ending or placement.failure, None
                     await placement.failed(ending)
                     interceptor.error = None
                     continue
@@ -175,7 +177,8 @@
         """
         message_type = message["type"]
         if not self.started:
-            if self.error is None and self.placement.ending is TerminationReason.CONNECT_FAILED:
+            gave_up = self.placement.reported_unreachable or self.placement.ending is TerminationReason.CONNECT_FAILED
+            if self.error is None and gave_up:
                 self.error = BackendUnreachable(self.placement.backend)
             if self.error is not None:
                 return  # the error page of the framework for an attempt that is followed by another
@@ -271,13 +274,16 @@
 
 
 async def send_rejection(scope: Scope, send: Send, error: Exception | None) -> None:
-    """Answer a scope that was not placed.
+    """Answer a scope that was not placed: with advice when to retry, unless an attempt may have run.
 
     Args:
         scope: The scope of the client.
         send: The server's function that sends a message.
         error: The reason, whose `retry_after` is sent if it is Rejected.
     """
+    if isinstance(error, Failed):
+        await send_response(scope, send, 502, WS_INTERNAL_ERROR, FAILURE_BODY, [])
+        return
     retry_after_s = error.retry_after if isinstance(error, Rejected) else DEFAULT_RETRY_AFTER_S
     headers = [(b"retry-after", b"%d" % max(1, ceil(retry_after_s)))]
     await send_response(scope, send, 503, WS_TRY_AGAIN_LATER, REJECTION_BODY, headers)
--- a/yarrowspindle/middleware/streams.py
+++ b/yarrowspindle/middleware/streams.py
@@ -13,7 +13,7 @@
 
 from yarrowspindle.library.errors import PlacementError
 from yarrowspindle.library.placement import Placement
-from yarrowspindle.middleware.asgi import WS_SERVICE_RESTART
+from yarrowspindle.middleware.asgi import WS_INTERNAL_ERROR, WS_SERVICE_RESTART
 from yarrowspindle.routing.address import Address
 from yarrowspindle.routing.termination import TerminationReason
 
@@ -21,7 +21,6 @@
 MAX_LINE_BYTES = 65_536
 EVENT_STREAM_RECONNECT_MS = 400  # the delay that an event stream sets for its client to reconnect
 WS_NORMAL_CLOSURE = 1000
-WS_INTERNAL_ERROR = 1011
 ALREADY_CLOSED = 0  # used in place of a close code: the client has closed the websocket itself
 
 
