Count a QUIC attempt as never run only if no datagram of it can have arrived

Cause: QuicFront._on_port_closed reported CONNECT_FAILED for every closed port before the connection was established.

Change: each path counts what it has sent; the attempt never ran only if nothing but the undelivered datagram left, else it is CONNECTION_RESET. A socket that cannot be opened proves nothing about other paths either.

Why it works: ICMP speaks of one datagram; all others may have arrived.

--- a/tests/fronts/test_quic_front.py
+++ b/tests/fronts/test_quic_front.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.ports import free_port
 from tests.quic_stand_ins import ID_KEY, IDS, RESET_KEY, QuicBackend, QuicClient
 from tests.stand_ins import relay
@@ -16,7 +18,7 @@
 from yarrowspindle.daemon.operator_config import QuicConfig
 from yarrowspindle.daemon.relay_service import RelayService
 from yarrowspindle.decisions.events import EndpointState, ListKind
-from yarrowspindle.decisions.settings import RequestClass, Settings
+from yarrowspindle.decisions.settings import Idempotency, RequestClass, Settings
 from yarrowspindle.fronts.quic_front import QuicFront
 from yarrowspindle.protocol import quic
 from yarrowspindle.routing.address import Address
@@ -55,6 +57,7 @@
     *backends: dict[str, Any],
     first_started_ms: float = 0.0,
     class_deadline_ms: float = 3000.0,
+    idempotency: Idempotency = Idempotency.IDEMPOTENT,
     max_connections: int = 50,
     **changes: Any,
 ) -> None:
@@ -66,7 +69,7 @@
                 backend.name, await backend.open(), started_ms=first_started_ms if i == 0 else 0.0
             )
         settings = Settings(
-            classes=(RequestClass(800.0, class_deadline_ms),),
+            classes=(RequestClass(800.0, class_deadline_ms, idempotency),),
             max_attempts=3,
             may_cancel=True,
             clients_heed_retry_after=True,
@@ -166,6 +169,44 @@
     run_with_backends(body, {}, {})
 
 
+@pytest.mark.parametrize("idempotency", list(Idempotency))
+@pytest.mark.parametrize("resend", ["same port", "other port"])
+def test_a_first_flight_that_a_backend_received_is_not_sent_to_another_after_its_port_closed(
+    resend: str, idempotency: Idempotency
+) -> None:
+    """Guard against a request that runs twice: its backend received it and died, and the client sent it again."""
+
+    async def body(setup: QuicSetup) -> None:
+        client = await setup.client()
+        while not any(backend.initials_received for backend in setup.backends):
+            await asyncio.sleep(0.005)
+        (first,) = [backend for backend in setup.backends if backend.initials_received]
+        (other,) = [backend for backend in setup.backends if backend is not first]
+        first.close()
+        if resend == "other port":
+            await client.rebind()
+        client.send_first_flight()
+        if idempotency is Idempotency.IDEMPOTENT:
+            while not other.initials_received:
+                await asyncio.sleep(0.005)
+        else:
+            event = await asyncio.wait_for(client.terminated, 5.0)
+            assert (event.error_code, event.reason_phrase) == (quic.CONNECTION_REFUSED, "not served")
+            assert not other.initials_received
+
+    run_with_backends(body, {"answers": False}, {"answers": False}, idempotency=idempotency)
+
+
+@pytest.mark.parametrize("idempotency", list(Idempotency))
+def test_a_first_flight_that_no_backend_received_is_sent_to_another(idempotency: Idempotency) -> None:
+    async def body(setup: QuicSetup) -> None:
+        setup.backends[0].close()
+        for _ in range(6):
+            assert setup.backend_of(await (await setup.connected_client()).exchange(b"x")) == "node-1"
+
+    run_with_backends(body, {}, {}, idempotency=idempotency)
+
+
 def test_an_unresponsive_backend_is_abandoned_after_the_answer_timeout() -> None:
     async def body(setup: QuicSetup) -> None:
         for _ in range(3):
--- a/yarrowspindle/fronts/quic_flow.py
+++ b/yarrowspindle/fronts/quic_flow.py
@@ -65,6 +65,11 @@
     unanswered_datagrams: int = 0
     timeout: InactivityTimer | None = None
 
+    @property
+    def sent_datagrams(self) -> int:
+        """The number of datagrams that were sent to the backend in the attempt in flight."""
+        return sum(path.sent for path in self.paths.values())
+
     def detach_backend(self) -> None:
         """Close the paths to the backend and discard the datagrams it has sent."""
         self.forwarding = False
--- a/yarrowspindle/fronts/quic_front.py
+++ b/yarrowspindle/fronts/quic_front.py
@@ -256,10 +256,16 @@
             self.table.add_id(flow, source)
 
     def _on_port_closed(self, flow: Flow, attempt: int) -> None:
-        """End the attempt because the backend's port is closed."""
-        if flow.attempt == attempt and self.table.contains(flow):
-            reset, unreachable = TerminationReason.CONNECTION_RESET, TerminationReason.CONNECT_FAILED
-            self.service.post(AttemptEnded(flow.request, attempt, reset if flow.established else unreachable))
+        """End the attempt because the backend's port is closed, which proves that one datagram did not arrive."""
+        self._end_undelivered(flow, attempt, undelivered=1)
+
+    def _end_undelivered(self, flow: Flow, attempt: int, undelivered: int) -> None:
+        """End the attempt; it never ran if no datagram but the undelivered ones was sent to the backend."""
+        if flow.attempt != attempt or not self.table.contains(flow):
+            return
+        may_have_run = flow.established or flow.sent_datagrams > undelivered
+        reason = TerminationReason.CONNECTION_RESET if may_have_run else TerminationReason.CONNECT_FAILED
+        self.service.post(AttemptEnded(flow.request, attempt, reason))
 
     # --- effects ----------------------------------------------------------------------------------
 
@@ -301,7 +307,7 @@
             await self.loop.create_datagram_endpoint(lambda: path, remote_addr=flow.address)
         except Exception as error:  # also for an invalid address, end the attempt now instead of at its deadline
             logger.warning("cannot open a UDP socket to backend {}: {!r}", flow.backend, error)
-            self._on_port_closed(flow, attempt)
+            self._end_undelivered(flow, attempt, undelivered=0)
 
     def _abort_attempt(self, effect: AbortAttempt) -> None:
         flow = self.table.flows.get(effect.request)
--- a/yarrowspindle/transport/datagrams.py
+++ b/yarrowspindle/transport/datagrams.py
@@ -71,6 +71,7 @@
 
     Attributes:
         pending: Datagrams queued until the socket is open.
+        sent: The number of datagrams sent to the backend.
         last_used_at: The time at which the path was last used, in seconds of the event loop's clock.
     """
 
@@ -83,6 +84,7 @@
         self.on_datagram, self.on_refused, self.client = on_datagram, on_refused, client
         self.transport: asyncio.DatagramTransport | None = None
         self.pending: list[bytes] = []
+        self.sent = 0
         self.closed = False
         self.last_used_at = 0.0
 
@@ -94,8 +96,8 @@
             return
         pending, self.pending = self.pending, []
         for data in pending:
-            if not self.closed:  # sendto may report at once that the previous one was refused, which may close the path
-                self.transport.sendto(data)
+            if not self.closed:  # the previous one may have been refused at once, which may close the path
+                self._send_now(self.transport, data)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass a datagram to `on_datagram`."""
@@ -112,10 +114,15 @@
         if self.closed:
             return
         if self.transport is not None:
-            self.transport.sendto(data)
+            self._send_now(self.transport, data)
         elif len(self.pending) < MAX_PENDING:
             self.pending.append(data)
 
+    def _send_now(self, transport: asyncio.DatagramTransport, data: bytes) -> None:
+        # `sendto` may report that an earlier datagram was refused, instead of sending this one.
+        transport.sendto(data)
+        self.sent += 1
+
     def close(self) -> None:
         """Close the socket. Nothing more is reported."""
         self.closed = True
