Block the loop for longer than the threshold of a stall in the library's stall run

Cause: the test's. run_with_stalls blocks the loop for 0.2 to 0.45 s, and the runtime counts a stall from 250 ms after its last tick on (ticks come every 100 ms). A block of under 0.25 s right after a tick is no stall by that definition. On a quiet machine the last tick is 50 ms old before each block; under load the ten pauses take longer, and a tick falls just before it.

Change: the shortest block is 1.05 times the threshold. The check (8 of 8, every request one answer) is as it was.

--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -38,6 +38,7 @@
 )
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.routing.termination import TerminationReason
+from yarrowspindle.runtime.runtime import STALL_THRESHOLD_MS
 
 ROOT = Path(__file__).resolve().parent.parent
 ENDPOINTS = [Endpoint(f"s-{i}", ("127.0.0.1", 3000 + i)) for i in range(1, 9)]
@@ -130,6 +131,9 @@
 # --- a host that stalls -------------------------------------------------------------------------
 
 
+MIN_BLOCK_S = 1.05 * STALL_THRESHOLD_MS / 1000.0  # the runtime counts it as a stall, whenever its last tick was
+
+
 async def run_with_stalls(seed: int, stalls: int) -> dict[str, int]:
     """Place requests while the event loop is blocked repeatedly; count those without one final answer in time."""
     random = Random(seed)
@@ -169,7 +173,7 @@
             tasks.append(asyncio.ensure_future(request(number)))
             await asyncio.sleep(0.005)
             if number % 10 == 9:
-                time.sleep(random.uniform(0.2, 0.45))
+                time.sleep(random.uniform(MIN_BLOCK_S, 0.45))
                 stalled_until = loop.time()
         await asyncio.gather(*tasks)
         result["leaked_jobs"] = len(placer.reducer.requests) + len(placer.placements) + len(placer.entered)
