Forward lines in one place, and move the front's lines on ended connections out of it

Change: LineConnection.forward_lines splits and forwards; a long line is raised after the lines before it were sent. The DEBUG lines on the end of connections are fronts/connection_log.py. A test holds the new DEBUG line, and one that a migration still forwards the line it waits for where a long line follows in the same chunk.

--- a/tests/daemon/test_incomplete_lines.py
+++ b/tests/daemon/test_incomplete_lines.py
@@ -142,3 +142,24 @@
         assert (await client.read_line(), await backend.read_line()) == ("three", "3")
 
     run(tmp_path, body)
+
+
+def test_the_log_tells_which_side_left_a_line_incomplete(tmp_path: Path) -> None:
+    async def body(env: RelayEnvironment) -> None:
+        client, name, backend = await env.established_connection()
+        client.writer.write(b"ask\r\n12")
+        backend.writer.write(b"123")
+        assert await backend.read_line() == "ask"
+        env.stop()
+        assert await asyncio.wait_for(client.reader.read(), TIMEOUT_S) == b"MOVE\r\n"
+        client.writer.close()
+        backend.writer.close()
+        dropped = {
+            (await env.next_log_line("dropped an incomplete line")).split(" DEBUG ")[1].strip() for _ in range(2)
+        }
+        assert dropped == {
+            "number=1 dropped an incomplete line of 2 bytes from client",
+            f"number=1 dropped an incomplete line of 3 bytes from backend={name}",
+        }
+
+    run(tmp_path, body, operator='[log]\nlevel = "DEBUG"\n', **SHORT_DEADLINE)
--- a/tests/transport/test_line_connections.py
+++ b/tests/transport/test_line_connections.py
@@ -170,6 +170,17 @@
     run(body)
 
 
+def test_a_migration_forwards_the_line_it_waits_for_although_a_long_line_follows() -> None:
+    def body() -> None:
+        _, client, client_transport, backend, _ = relaying_sides()
+        backend.data_received(b"hel")
+        backend.migrate(client)
+        backend.data_received(b"lo\r\n" + b"x" * 5000)
+        assert client_transport.sent == b"UP r\r\nhello\r\nMOVE\r\n" and client_transport.eof
+
+    run(body)
+
+
 def test_lines_arrive_unchanged_whatever_the_pieces() -> None:
     def body() -> None:
         data = b"one\r\n\r\nwith \r and \n inside\r\nLOAD 5\r\nlast\r\n"
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum, unique
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from yarrowspindle.fronts.connection_limiter import ConnectionLimiter
+from yarrowspindle.fronts.connection_log import IdleCloseReason, log_idle_close, log_incomplete_line
 from yarrowspindle.protocol import lines
 from yarrowspindle.protocol.lines import LineError, OpenRequest
 from yarrowspindle.routing.effects import (
@@ -57,15 +57,6 @@
 FINAL_LOOP_ITERATIONS = 4  # to write the last lines and read data that crosses them, even after the deadline
 
 
-@unique
-class IdleCloseReason(Enum):
-    """Reason why the relay closes a client connection without a request. The value is the name in the log."""
-
-    NO_FIRST_LINE = "no_first_line"
-    SHORT_OF_DESCRIPTORS = "short_of_descriptors"
-    SHUTDOWN = "shutdown"
-
-
 class LineFront:
     """The listening socket for clients and all client and backend connections that result from it.
 
@@ -239,7 +230,7 @@
 
     def client_connection_lost(self, side: ClientConnection) -> None:
         """Forget the connection, and its request if that has not ended."""
-        self._log_incomplete_line(side, side.request, "client")
+        log_incomplete_line(side, side.request, "client")
         self.limiter.on_closed(side)
         if self.clients.get(side.request) is side:
             self._forget(side.request)
@@ -257,21 +248,16 @@
 
     def idle_client_closed(self, side: ClientConnection) -> None:
         """Log the close of a client connection without a request, and count it as answered."""
-        self._log_idle_close(side, self.idle_close_reason)
+        log_idle_close(side, self.idle_close_reason, self.limiter.idle_s(side))
         self.limiter.on_answered(side)
 
     def _end_if_silent(self, side: LineConnection) -> bool:
         """End sending unless the kernel holds unread data of the client; return whether it holds none."""
         if not half_close_unless_readable(side.open_transport):
             return False
-        self._log_idle_close(side, IdleCloseReason.SHORT_OF_DESCRIPTORS)
+        log_idle_close(side, IdleCloseReason.SHORT_OF_DESCRIPTORS, self.limiter.idle_s(side))
         return True
 
-    def _log_idle_close(self, side: LineConnection, reason: IdleCloseReason) -> None:
-        """Log the close with the client's address, since there is no request by which to trace it."""
-        idle_ms = 1000.0 * self.limiter.idle_s(side)
-        logger.debug("idle client {} ended reason={} idle_ms={:.0f}", side.peer_address, reason.value, idle_ms)
-
     def log_warning(self, text: str) -> None:
         """Log a warning that clients or backends can cause, at a limited rate."""
         self.log.warn(text)
@@ -314,17 +300,9 @@
 
     def backend_connection_lost(self, side: BackendConnection) -> None:
         """Forget the connection."""
-        self._log_incomplete_line(side, side.request, f"backend={side.backend}")
+        log_incomplete_line(side, side.request, f"backend={side.backend}")
         self.limiter.on_closed(side)
 
-    @staticmethod
-    def _log_incomplete_line(side: LineConnection, request: int, sender: str) -> None:
-        """Log the line that the end of a connection left incomplete and that was not forwarded, if there is one."""
-        if not side.lines.at_boundary:
-            logger.debug(
-                "number={} dropped an incomplete line of {} bytes from {}", request, len(side.lines.rest), sender
-            )
-
     def attempt_ended(self, side: BackendConnection, reason: TerminationReason) -> None:
         """Post that the attempt ended, with the reason."""
         if self.backends.get(side.request) is side:
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -135,22 +135,21 @@
             self.early_data += data
             return
         try:
-            complete = self.lines.feed(data)
+            if self.migrating_client is not None:
+                self._forward_last_line(self.lines.feed(data))
+                return
+            complete = self.forward_lines(data)
         except LineTooLongError as error:
-            self.forward_lines(error.lines_before)
             self._end_because_of_line(error)
             return
-        if self.migrating_client is not None:
-            self._forward_last_line(complete)
-            return
-        self.forward_lines(complete)
         self._report(complete)
 
-    def _end_because_of_line(self, error: LineError) -> None:
+    def _end_because_of_line(self, error: LineTooLongError) -> None:
         """End an established connection because of an invalid line of the backend."""
         self.sink.log_warning(f"backend {self.backend} sent {error}; closing the connection")
         if self.migrating_client is not None:
-            self._finish_migration()
+            self._forward_last_line(error.lines_before)
+            self.finish_migration_now()
         elif self.other is not None:
             self.other.finish(lines.MOVE)  # the backend may still answer, so the client is not cut off without a word
         self._end(TerminationReason.CONNECTION_RESET)
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -89,12 +89,10 @@
 
     def _forward(self, data: bytes) -> None:
         try:
-            complete = self.lines.feed(data)
+            complete = self.forward_lines(data)
         except LineTooLongError as error:
-            self.forward_lines(error.lines_before)
             self._end_because_of_line(error)
             return
-        self.forward_lines(complete)
         self.sink.client_data_forwarded(self.request, len(complete))
 
     def _end_because_of_line(self, error: LineError) -> None:
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import Any, cast
 
-from yarrowspindle.protocol.lines import LineSplitter, join_lines
+from yarrowspindle.protocol.lines import LineSplitter, LineTooLongError, join_lines
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 
 LINGER_INTERVAL_S = 0.5  # after closing our sending direction, for a peer that sends nothing to close as well
@@ -71,12 +71,24 @@
         if transport is not None and not self.closing:
             transport.write(data)
 
-    def forward_lines(self, lines: list[bytes]) -> None:
-        """Send lines of this side's peer to the other side.
+    def forward_lines(self, data: bytes) -> list[bytes]:
+        """Send the lines that this data of the peer completes to the other side, and return them.
 
         Only complete lines are forwarded. The relay can then send MOVE at any time, and whatever ends the connection,
         no peer takes part of a line for a whole one.
+
+        Raises:
+            LineTooLongError: A line exceeds the limit; the lines before it were sent.
         """
+        try:
+            complete = self.lines.feed(data)
+        except LineTooLongError as error:
+            self._write_to_other_side(error.lines_before)
+            raise
+        self._write_to_other_side(complete)
+        return complete
+
+    def _write_to_other_side(self, lines: list[bytes]) -> None:
         if lines and self.other is not None:
             self.other.write(join_lines(lines))
 
