Log the calls for the endpoint list, its age and the process; publish them as metrics

Change: the process id on each line, a debug line for each call to discovery when it is opened, delivers and ends, the list's version and age on each attempt; list.calls, list.updates, list.failures, list.version, list.age_ms, list.watch_open, list.pending_calls.

--- a/tests/daemon/test_endpoint_list_faults.py
+++ b/tests/daemon/test_endpoint_list_faults.py
@@ -9,6 +9,8 @@
 import pytest
 
 from tests.stand_ins import RelayEnvironment, relay
+from yarrowspindle.protocol.endpoint_list import ZoneAndKindNames
+from yarrowspindle.runtime.endpoint_watch import EndpointWatch
 
 
 def chunk(line: str) -> bytes:
@@ -107,3 +109,33 @@
                     break
 
     asyncio.run(body())
+
+
+def test_the_log_and_the_metrics_show_the_calls_the_state_of_the_watch_and_the_age_of_the_list(tmp_path: Path) -> None:
+    """Guard against a failed drain whose log does not show what the process knew, and which process it was."""
+
+    async def body() -> None:
+        async with relay(tmp_path, '[log]\nlevel = "DEBUG"\n') as env:
+            assert f"[{env.process.pid}]" in await env.next_log_line("discovery call=1 opened")
+            await env.next_watch()
+            env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
+            await env.next_log_line("discovery call=1 delivered version=2 kind=full entries=2")
+            await check_request_served(env)
+            await env.next_log_line("list_version=2 list_age_ms=")
+            env.watch.writer.transport.abort()
+            assert "list_version=2" in await env.next_log_line("discovery call=1 ended had_list=True")
+
+    asyncio.run(body())
+
+
+def test_the_gauges_of_the_list_are_published() -> None:
+    async def body() -> None:
+        watch = EndpointWatch(ZoneAndKindNames(), lambda update: None, lambda reason: None)
+        assert watch.gauges() == {
+            "list.version": 0.0,
+            "list.age_ms": -1.0,
+            "list.watch_open": 0.0,
+            "list.pending_calls": 0.0,
+        }
+
+    asyncio.run(body())
--- a/tests/telemetry/test_trace.py
+++ b/tests/telemetry/test_trace.py
@@ -29,3 +29,11 @@
     assert "retry_reason=turned_away" in lines[4]
     trace.on_effect(RejectRequest(1, 250.0))
     assert trace.open_requests == 0
+
+
+def test_a_new_attempt_names_the_endpoint_list_that_it_was_placed_by() -> None:
+    lines: list[str] = []
+    trace = Trace(lines.append, lambda: "list_version=41 list_age_ms=230")
+    trace.on_effect(OpenBackendConnection(1, 0, "s-1", ADDRESS, 250.0))
+    trace.on_effect(ForwardRequest(1, 0, 900.0))
+    assert lines[0].endswith("list_version=41 list_age_ms=230") and "list_version" not in lines[1]
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -98,16 +98,22 @@
         self.runtime.event_observers.append(self.guard.on_event)
         self.trace: Trace | None = None
         if self.operator.log_level in TRACE_LEVELS:
-            self.trace = trace = Trace(logger.debug)
+            self.trace = trace = Trace(logger.debug, self._describe_list)
             self.runtime.event_observers.append(lambda now, event: trace.on_event(event))
         self.runtime.effect_observer = self._observe_effect
 
+    def _describe_list(self) -> str:
+        return self.endpoint_watch.describe()
+
     def _set_up_endpoint_watch(self) -> None:
         self.endpoint_watch = EndpointWatch(
             self.config.names,
             self.post,
             lambda reason: logger.warning("the watch on the endpoint list ended: {}", reason),
+            lambda text: logger.debug("{}", text),
         )
+        self.metrics.counter_sources["list"] = self.endpoint_watch.counts
+        self.metrics.gauge_sources.append(self.endpoint_watch.gauges)
         self.runtime.watch_endpoints = self._watch_endpoints
 
     def _set_up_health_checker(self) -> None:
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -24,8 +24,10 @@
         names: zone and kind names from the settings.
         on_update: called with each update, and with one of the kind FAILED when the watch ends.
         on_failure: called with the reason, for the log, when the watch ends.
+        log: called with a debug line for each call, its first list and its end.
 
     Attributes:
+        counts: number of calls to discovery, of updates received and of failures, by their published names.
         watch: the newest call.
         watch_address: the address of the discovery service that `watch` connects to.
         connecting: attempts to connect, by watch.
@@ -39,9 +41,14 @@
     """
 
     def __init__(
-        self, names: ZoneAndKindNames, on_update: Callable[[EndpointsUpdated], None], on_failure: Callable[[str], None]
+        self,
+        names: ZoneAndKindNames,
+        on_update: Callable[[EndpointsUpdated], None],
+        on_failure: Callable[[str], None],
+        log: Callable[[str], None] = lambda text: None,
     ) -> None:
-        self.names, self.on_update, self.on_failure = names, on_update, on_failure
+        self.names, self.on_update, self.on_failure, self.log = names, on_update, on_failure, log
+        self.counts: Counter[str] = Counter()
         self.watch: WatchConnection | None = None
         self.watch_address: Address | None = None
         self.connecting: dict[WatchConnection, Connector] = {}
@@ -67,7 +74,12 @@
             self._replace(self.watch, address)
         self.version = max(version, self.version) if version else 0
         self.watch_address = address
-        self.watch = watch = WatchConnection(self, self.names, address, version)
+        self.counts["calls"] += 1
+        self.watch = watch = WatchConnection(self, self.names, address, version, self.counts["calls"])
+        self.log(
+            f"discovery call={watch.number} opened address={address[0]}:{address[1]} version={version} "
+            f"{self.describe()} pending_calls={len(self.pending_calls)} previous_open={self.previous is not None}"
+        )
         watch.start_first_list_timer()
         connecting = Connector(watch, address, lambda failure: watch.end(str(failure)))
         self.connecting[watch] = connecting
@@ -107,6 +119,29 @@
             if watch is not None:
                 self._end(watch, "closed")
 
+    # --- for logs and metrics -----------------------------------------------------------------------
+
+    def list_age_ms(self) -> float | None:
+        """Return how many milliseconds ago a service last confirmed the list; None if none has in this process."""
+        if self.last_active_at is None:
+            return None
+        return (asyncio.get_running_loop().time() - self.last_active_at) * 1000.0
+
+    def describe(self) -> str:
+        """Return the version and the age of the list for a log line."""
+        age_ms = self.list_age_ms()
+        return f"list_version={self.version} list_age_ms={'none' if age_ms is None else format(age_ms, '.0f')}"
+
+    def gauges(self) -> dict[str, float]:
+        """Return the state of the watch by its published names; the age of a list that was never confirmed is -1."""
+        age_ms = self.list_age_ms()
+        return {
+            "list.version": float(self.version),
+            "list.age_ms": -1.0 if age_ms is None else age_ms,
+            "list.watch_open": float(any(w is not None and w.has_list for w in (self.watch, self.previous))),
+            "list.pending_calls": float(len(self.pending_calls)),
+        }
+
     # --- reports of the watches -------------------------------------------------------------------
 
     def watch_active(self, watch: WatchConnection) -> None:
@@ -114,6 +149,10 @@
         if watch is self.watch or (watch is self.previous and watch.address == self.watch_address):
             self.last_active_at, self.last_active_address = asyncio.get_running_loop().time(), watch.address
 
+    @staticmethod
+    def _call_age_ms(watch: WatchConnection) -> float:
+        return (asyncio.get_running_loop().time() - watch.opened_at) * 1000.0
+
     def _silence_ms(self, watch: WatchConnection) -> float | None:
         """Return how many milliseconds ago the service of this watch last sent data; None if it has sent none."""
         if self.last_active_at is None or self.last_active_address != watch.address:
@@ -144,11 +183,20 @@
             # Versions of another service are not comparable: keep the version to resume from.
             update = replace(update, version=self.version)
         if watch in (self.watch, self.previous):
+            self.counts["updates"] += 1
+            self.log(
+                f"discovery call={watch.number} delivered version={update.version} kind={update.kind.name.lower()} "
+                f"entries={len(update.endpoints)} call_age_ms={self._call_age_ms(watch):.0f}"
+            )
             update.since_last_update_ms = self._silence_ms(watch)
             self.on_update(update)
 
     def watch_ended(self, watch: WatchConnection, reason: str) -> None:
         """Remove a watch that ended, and report a failure if it was the newest call."""
+        self.log(
+            f"discovery call={watch.number} ended had_list={watch.has_list} "
+            f"call_age_ms={self._call_age_ms(watch):.0f} {self.describe()}: {reason}"
+        )
         self.connecting.pop(watch, None)
         if watch in self.pending_calls:
             self.pending_calls.remove(watch)
@@ -157,5 +205,6 @@
         elif self.watch is watch:
             self.watch = None
             if not self.closed:
-                self.on_failure(reason)
+                self.counts["failures"] += 1
+                self.on_failure(f"{reason} ({self.describe()})")
                 self.on_update(EndpointsUpdated(ListKind.FAILED))
--- a/yarrowspindle/telemetry/log.py
+++ b/yarrowspindle/telemetry/log.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
+# With the process id: during an upgrade two processes of a relay may write to the same log.
+LOG_FORMAT = "{time:HH:mm:ss.SSS} {level} [{process}] {message}"
 MAX_WARNINGS = 20  # per WARNING_PERIOD_S
 WARNING_PERIOD_S = 1.0
 
--- a/yarrowspindle/telemetry/trace.py
+++ b/yarrowspindle/telemetry/trace.py
@@ -32,13 +32,18 @@
 
 
 class Trace:
-    """Trace of requests; `write` is called with each line.
+    """Trace of requests.
 
     A line starts with `request=`, the client's request id, and `number=`, the relay's number for the request.
+
+    Args:
+        write: called with each line.
+        describe_list: returns the version and the age of the endpoint list, for the lines of new attempts.
     """
 
-    def __init__(self, write: Callable[[str], None]) -> None:
+    def __init__(self, write: Callable[[str], None], describe_list: Callable[[], str] = lambda: "") -> None:
         self._write = write
+        self._describe_list = describe_list
         self._client_request_ids: dict[int, str] = {}  # by number, of requests that have not ended
         self._retry_reasons: dict[int, str] = {}  # why the request's last attempt ended
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -107,6 +112,8 @@
     def _on_open_backend_connection(self, effect: OpenBackendConnection) -> None:
         retry_reason = self._retry_reasons.pop(effect.request, "")
         suffix = f" retry_reason={retry_reason}" if retry_reason else ""
+        used_list = self._describe_list()
+        suffix += f" {used_list}" if used_list else ""
         self._line(effect.request, f"attempt={effect.attempt} connecting backend={effect.backend}{suffix}")
 
     def _on_forward_request(self, effect: ForwardRequest) -> None:
--- a/yarrowspindle/transport/endpoint_list_watch.py
+++ b/yarrowspindle/transport/endpoint_list_watch.py
@@ -37,15 +37,20 @@
         names: Names of zones and kinds, from the settings.
         address: The host and port of the discovery service.
         version: The version after which changes are requested; 0 for the full list.
+        number: The number of the call in this process, for the log.
 
     Attributes:
+        opened_at: Event loop time in seconds at which the call began.
         has_list: Whether a list has been received.
         ended: Whether the watch has ended.
         inactivity_timer: Ends the watch unless data arrives in time.
     """
 
-    def __init__(self, sink: WatchSink, names: ZoneAndKindNames, address: Address, version: int) -> None:
-        self.sink, self.address, self.version = sink, address, version
+    def __init__(
+        self, sink: WatchSink, names: ZoneAndKindNames, address: Address, version: int, number: int = 0
+    ) -> None:
+        self.sink, self.address, self.version, self.number = sink, address, version, number
+        self.opened_at = asyncio.get_running_loop().time()
         self.response = WatchResponse(names)
         self.transport: asyncio.Transport | None = None
         self.inactivity_timer: InactivityTimer | None = None
