Begin no attempt that the end of the process would cut off

Change: the balancer learns when the process ends; an attempt begins, and is forwarded, only if half of the class's setup latency objective is left, else the request is answered.

--- a/yarrowspindle/decisions/balancer.py
+++ b/yarrowspindle/decisions/balancer.py
@@ -31,6 +31,7 @@
     RebalancingTarget,
     RequestReceived,
     SettingsChanged,
+    ShutdownScheduled,
     SlowMessageObserved,
     TimerFired,
 )
@@ -40,6 +41,7 @@
 from yarrowspindle.decisions.outlier_detection import is_ejected
 from yarrowspindle.decisions.peer_loads import PeerLoadTable
 from yarrowspindle.decisions.placement import Placement
+from yarrowspindle.decisions.rejection import RejectionReason
 from yarrowspindle.decisions.request_lifecycle import RequestLifecycle
 from yarrowspindle.decisions.requests import Request
 from yarrowspindle.decisions.settings import Settings
@@ -101,6 +103,7 @@
             PeerMessage: self._ignore,
             SettingsChanged: self._on_settings_changed,
             PeerLoads: self.health_checks.on_peer_loads,
+            ShutdownScheduled: self._on_shutdown_scheduled,
             RebalancingTarget: self._on_rebalancing_target,
         }
 
@@ -144,6 +147,9 @@
         if state.estimates is not None:
             state.estimates.on_settings_changed(event.settings, event.reassigned_classes)
 
+    def _on_shutdown_scheduled(self, event: ShutdownScheduled) -> None:
+        self.state.ends_at = self.state.now + event.remaining_ms
+
     def _on_rebalancing_target(self, event: RebalancingTarget) -> None:
         self.state.rebalancing_target = event.level
 
@@ -182,6 +188,10 @@
         """The number of requests rejected as overloaded, by the published name of the admission rule."""
         return self.admission.rejections
 
+    def placement_rejection(self, request_class: int, now: float) -> RejectionReason | None:
+        """Return why no request of this class may be sent to any backend now, or None if requests may be."""
+        return self.lifecycle.placement_rejection(request_class, now)
+
     def ejected(self, now: float) -> set[int]:
         """Return the ids of the backends that are ejected at `now`."""
         return {backend.id for backend in self.backends.values() if is_ejected(backend, now)}
--- a/yarrowspindle/decisions/events.py
+++ b/yarrowspindle/decisions/events.py
@@ -174,6 +174,13 @@
     request: int
 
 
+@dataclass(slots=True)
+class ShutdownScheduled:
+    """End of the process, `remaining_ms` from now; by then every request has its final answer."""
+
+    remaining_ms: float
+
+
 @dataclass(slots=True)
 class RebalancingTarget:
     """Target for the own load per unit of a backend's capacity during rebalancing; 0 ends it.
@@ -244,6 +251,7 @@
     | PeerMessage
     | ClientDisconnected
     | DeadlineReached
+    | ShutdownScheduled
     | RebalancingTarget
     | SettingsChanged
     | PeerLoads
--- a/yarrowspindle/decisions/request_gate.py
+++ b/yarrowspindle/decisions/request_gate.py
@@ -17,6 +17,7 @@
 ANSWER_MARGIN_MS = 4.0
 # A stated wait that exceeds the class's deadline by more than this is implausible, and the request is rejected.
 MAX_CLIENT_DEADLINE_SLACK_MS = 1000.0
+MIN_SETUP_FRACTION = 0.5  # of the setup latency objective that must remain for an attempt in a process that ends
 
 
 def admission_rejection(
@@ -115,6 +116,20 @@
     return RejectionReason.IDEMPOTENCY_WINDOW_EXPIRED
 
 
+def shutdown_rejection(remaining_ms: float, setup_latency_objective_ms: float) -> RejectionReason | None:
+    """Return why no attempt may begin any more in a process that ends, or None if one may.
+
+    An attempt that the end cuts off may have run, so that its client would not be told that a retry is harmless.
+
+    Args:
+        remaining_ms: time until the process answers all requests; infinite if it does not end.
+        setup_latency_objective_ms: the latency objective of the request's class.
+    """
+    if remaining_ms < MIN_SETUP_FRACTION * setup_latency_objective_ms:
+        return RejectionReason.SHUTTING_DOWN
+    return None
+
+
 def attempt_rejection(attempts: int, max_attempts: int, now: float, deadline: float) -> RejectionReason | None:
     """Return why there may be no further attempt after `attempts` of them, or None if there may."""
     if attempts >= max_attempts:
--- a/yarrowspindle/decisions/request_lifecycle.py
+++ b/yarrowspindle/decisions/request_lifecycle.py
@@ -23,7 +23,7 @@
 from yarrowspindle.decisions.health_checks import HealthChecks
 from yarrowspindle.decisions.placement import Placement
 from yarrowspindle.decisions.rejection import RejectionReason
-from yarrowspindle.decisions.request_gate import is_retry_safe
+from yarrowspindle.decisions.request_gate import is_retry_safe, shutdown_rejection
 from yarrowspindle.decisions.requests import Request, find_request
 from yarrowspindle.decisions.retries import RetryBudget, attempt_rejection, backoff_ms, max_wait_ms, retry_window_ms
 from yarrowspindle.decisions.slow_start import SlowStart
@@ -98,6 +98,10 @@
     def _place(self, request: Request) -> None:
         """Start the next attempt, queue the request if a backend may still become usable, or answer it."""
         state = self.state
+        rejection = self.placement_rejection(request.cls, state.now)
+        if rejection is not None:
+            self._reject(request, rejection)
+            return
         rejection = attempt_rejection(request, state.settings, state.now)
         backend = None if rejection else self.placement.choose(request)
         if backend is None:
@@ -109,6 +113,12 @@
         else:
             self._start_attempt(request, backend)
 
+    def placement_rejection(self, request_class: int, now: float) -> RejectionReason | None:
+        """Return why no request of this class may be sent to any backend now, or None if requests may be."""
+        state, settings = self.state, self.state.settings
+        objective_ms = settings.classes[request_class].setup_latency_objective_ms
+        return shutdown_rejection(state.ends_at - now, objective_ms)
+
     def _start_attempt(self, request: Request, backend: Backend) -> None:
         state = self.state
         state.queued.pop(request.id, None)
--- a/yarrowspindle/decisions/state.py
+++ b/yarrowspindle/decisions/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from yarrowspindle.decisions.actions import Action
@@ -28,6 +29,7 @@
         self.random = Random(seed).random
         self.actions: list[Action] = []  # caused by the current event
         self.timers = Timers()
+        self.ends_at = inf  # when the process ends
         self.backends: dict[int, Backend] = {}
         # Backends with own connections, failures or slow messages; nothing was observed of the others.
         self.observed_backends: dict[int, Backend] = {}
--- a/yarrowspindle/routing/draining.py
+++ b/yarrowspindle/routing/draining.py
@@ -4,6 +4,7 @@
 
 from math import ceil
 
+from yarrowspindle.decisions import events as balancer_events
 from yarrowspindle.routing.attempts import Attempts
 from yarrowspindle.routing.context import RoutingContext
 from yarrowspindle.routing.effects import CancelTimer, SetTimer
@@ -33,6 +34,8 @@
         context = self._context
         context.shutdown_deadline = context.now + event.time_limit_ms
         context.process_exits = event.process_exits
+        if event.process_exits:
+            self._attempts.notify_balancer(balancer_events.ShutdownScheduled(event.time_limit_ms))
         if context.rebalancer is not None:
             context.rebalancer.stop()
         context.effects.append(SetTimer(min(MIGRATION_START_DELAY_MS, event.time_limit_ms / 2.0), SHUTDOWN_TIMER))
--- a/yarrowspindle/routing/requests.py
+++ b/yarrowspindle/routing/requests.py
@@ -176,6 +176,8 @@
             begin_by=request.write_deadline,
             deadline=request.deadline,
         )
+        if reason is None and request.existing_connection is None:
+            reason = context.balancer.placement_rejection(request.received.request_class, context.now)
         if reason:
             self._attempts.abort(request, reason, TerminationReason.NOT_SENT)
             return
