Place nothing by a list that a successor may know to be outdated

Change: decisions/list_freshness.py states the rule. Discovery's heartbeats reach the balancer as ListKind.CONFIRMED; once another process of the relay serves and this one ends, an attempt starts and is forwarded only if the list was confirmed within the drain grace less a stall of 150 ms; else the request is rejected (BUSY, reason list_outdated), or failed where it may have run.

--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -20,6 +20,7 @@
 from yarrowspindle.daemon.relay_service import RelayService
 from yarrowspindle.fronts.connection_limiter import descriptors_left
 from yarrowspindle.fronts.line_front import LineFront
+from yarrowspindle.routing.events import SuccessorServing
 from yarrowspindle.runtime import SystemClock
 from yarrowspindle.telemetry.log import configure_log
 
@@ -180,6 +181,7 @@
         while loop.time() < deadline - SUCCESSOR_POLL_S:
             if self.front.successor_listens():
                 logger.info("another process of this relay serves: new connections are left to it")
+                self.service.post(SuccessorServing())
                 await self.front.hand_over(loop.time() + HAND_OVER_S)
                 return
             await asyncio.sleep(SUCCESSOR_POLL_S)
--- a/yarrowspindle/daemon/metrics.py
+++ b/yarrowspindle/daemon/metrics.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
+from yarrowspindle.decisions.events import ListKind
 from yarrowspindle.routing.effects import AbortAttempt, Effect, FailRequest, MigrateConnection, RejectRequest
-from yarrowspindle.routing.events import AttemptEnded, Event
+from yarrowspindle.routing.events import AttemptEnded, EndpointsUpdated, Event
 from yarrowspindle.routing.reducer import Reducer
 from yarrowspindle.telemetry.published_names import EFFECTS, EVENTS, PHASES, TERMINATION_REASONS, reason_name
 
@@ -61,6 +62,8 @@
 
     def on_event(self, event: Event) -> None:
         """Count an event that the reducer is about to receive."""
+        if isinstance(event, EndpointsUpdated) and event.kind is ListKind.CONFIRMED:
+            return
         name = EVENTS.get(type(event))
         if name is not None:
             self.counts[f"event.{name}"] += 1
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -15,6 +15,7 @@
 from yarrowspindle.daemon.metrics import Metrics
 from yarrowspindle.daemon.operator_config import OperatorConfig, load_operator_config
 from yarrowspindle.daemon.settings_update import apply_shared_settings, merge_settings, reload_config
+from yarrowspindle.decisions.settings import MAX_STALL_MS
 from yarrowspindle.routing.effects import CancelHealthCheck, Effect, WatchEndpoints
 from yarrowspindle.routing.events import (
     DiscoveryAddressChanged,
@@ -43,7 +44,6 @@
 MAX_DEADLINE_MS = 3000.0
 KILL_GRACE_MS = 700.0
 CLOSE_RESERVE_MS = 400.0  # part of that time, reserved for closing connections and for the exit of the process
-MAX_STALL_MS = 150.0  # longest stall that a process must tolerate; SIGTERM may have arrived at its beginning
 DRAIN_MS = 2500.0  # time within which an operator's drain migrates all established connections
 
 
@@ -177,13 +177,18 @@
         Returns:
             The milliseconds within which every request is answered and every connection is migrated.
         """
-        classes = self.config.settings.classes
-        longest_deadline_ms = max(classes[number].deadline_ms for number in self.config.current_classes.values())
-        shutdown_ms = min(longest_deadline_ms, MAX_DEADLINE_MS) + KILL_GRACE_MS - CLOSE_RESERVE_MS
+        shutdown_ms = self.longest_deadline_ms() + KILL_GRACE_MS - CLOSE_RESERVE_MS
+        # SIGTERM may have arrived at the beginning of a stall.
         shutdown_ms -= min(self.runtime.recent_delay_ms(), MAX_STALL_MS)
         self.post(ShutdownRequested(shutdown_ms))
         return shutdown_ms
 
+    def longest_deadline_ms(self) -> float:
+        """Return the longest deadline of the current classes, at most MAX_DEADLINE_MS."""
+        classes = self.config.settings.classes
+        deadlines = (classes[number].deadline_ms for number in self.config.current_classes.values())
+        return min(max(deadlines), MAX_DEADLINE_MS)
+
     def finish_shutdown(self) -> None:
         """Answer or migrate all remaining clients once the time of `begin_shutdown` has passed.
 
--- a/yarrowspindle/decisions/balancer.py
+++ b/yarrowspindle/decisions/balancer.py
@@ -33,6 +33,7 @@
     SettingsChanged,
     ShutdownScheduled,
     SlowMessageObserved,
+    SuccessorServing,
     TimerFired,
 )
 from yarrowspindle.decisions.health_checks import HealthChecks
@@ -104,6 +105,7 @@
             SettingsChanged: self._on_settings_changed,
             PeerLoads: self.health_checks.on_peer_loads,
             ShutdownScheduled: self._on_shutdown_scheduled,
+            SuccessorServing: self._on_successor_serving,
             RebalancingTarget: self._on_rebalancing_target,
         }
 
@@ -132,6 +134,11 @@
         if event.kind is ListKind.FAILED:
             self.discovery.on_failure()
             return
+        if event.kind is ListKind.CONFIRMED:
+            self.state.list_freshness.on_heartbeat(self.state.now)
+            return
+        if event.kind is not ListKind.CACHED:
+            self.state.list_freshness.on_update(self.state.now)
         self.registry.apply(event)
         self.discovery.on_list(event.kind)
         self.lifecycle.place_queued()
@@ -150,6 +157,9 @@
     def _on_shutdown_scheduled(self, event: ShutdownScheduled) -> None:
         self.state.ends_at = self.state.now + event.remaining_ms
 
+    def _on_successor_serving(self, event: SuccessorServing) -> None:
+        self.state.list_freshness.successor_serves = True
+
     def _on_rebalancing_target(self, event: RebalancingTarget) -> None:
         self.state.rebalancing_target = event.level
 
--- a/yarrowspindle/decisions/events.py
+++ b/yarrowspindle/decisions/events.py
@@ -26,6 +26,7 @@
     FULL = 1  # all entries
     CACHED = 2  # all entries as last known, possibly outdated
     FAILED = 3  # no entries: a poll or the subscription failed; the previous list stays in use
+    CONFIRMED = 4  # no entries: discovery has sent a heartbeat; the previous list is current
 
 
 class Outcome(IntEnum):
@@ -181,6 +182,11 @@
     remaining_ms: float
 
 
+@dataclass(slots=True)
+class SuccessorServing:
+    """Takeover by another process of the same relay, which accepts the clients of this one from now on."""
+
+
 @dataclass(slots=True)
 class RebalancingTarget:
     """Target for the own load per unit of a backend's capacity during rebalancing; 0 ends it.
@@ -252,6 +258,7 @@
     | ClientDisconnected
     | DeadlineReached
     | ShutdownScheduled
+    | SuccessorServing
     | RebalancingTarget
     | SettingsChanged
     | PeerLoads
--- a/yarrowspindle/decisions/rejection.py
+++ b/yarrowspindle/decisions/rejection.py
@@ -27,4 +27,5 @@
     OVERLOADED = "overloaded"  # it would miss its latency objective and slow down other connections
     NOT_ESTABLISHED = "not_standing"  # there is no established connection to migrate
     INTERNAL_ERROR = "step_failed"  # unexpected exception, which was logged
+    LIST_OUTDATED = "list_outdated"  # the endpoint list is too old, and another process serves the relay's clients
     SLOW_START = "slow_start"  # the slow-start budget is used up
--- a/yarrowspindle/decisions/request_lifecycle.py
+++ b/yarrowspindle/decisions/request_lifecycle.py
@@ -117,7 +117,9 @@
         """Return why no request of this class may be sent to any backend now, or None if requests may be."""
         state, settings = self.state, self.state.settings
         objective_ms = settings.classes[request_class].setup_latency_objective_ms
-        return shutdown_rejection(state.ends_at - now, objective_ms)
+        return state.list_freshness.placement_rejection(settings, now) or shutdown_rejection(
+            state.ends_at - now, objective_ms
+        )
 
     def _start_attempt(self, request: Request, backend: Backend) -> None:
         state = self.state
--- a/yarrowspindle/decisions/settings.py
+++ b/yarrowspindle/decisions/settings.py
@@ -62,6 +62,7 @@
     "probe_price",
     "over_quota_priority_weight",
 )
+MAX_STALL_MS = 150.0  # longest stall of its process that a relay must tolerate
 SLOW_MESSAGE_DIVISOR = 3.0  # messages slower than the shortest latency objective divided by this are reported
 
 
--- a/yarrowspindle/decisions/state.py
+++ b/yarrowspindle/decisions/state.py
@@ -8,6 +8,7 @@
 
 from yarrowspindle.decisions.actions import Action
 from yarrowspindle.decisions.backends import Backend
+from yarrowspindle.decisions.list_freshness import ListFreshness
 from yarrowspindle.decisions.load_estimates import LoadEstimates, MeanConnectionLoad
 from yarrowspindle.decisions.peer_loads import PeerLoadTable
 from yarrowspindle.decisions.requests import Request
@@ -29,6 +30,7 @@
         self.random = Random(seed).random
         self.actions: list[Action] = []  # caused by the current event
         self.timers = Timers()
+        self.list_freshness = ListFreshness()
         self.ends_at = inf  # when the process ends
         self.backends: dict[int, Backend] = {}
         # Backends with own connections, failures or slow messages; nothing was observed of the others.
--- a/yarrowspindle/replay/recorded_form.py
+++ b/yarrowspindle/replay/recorded_form.py
@@ -45,6 +45,7 @@
     "ListTold": events.EndpointsUpdated,
     "Woke": events.TimerFired,
     "Stop": events.ShutdownRequested,
+    "SuccessorServing": events.SuccessorServing,
     "Reloaded": events.DiscoveryAddressChanged,
     "Stalled": events.EventLoopStalled,
     "OthersTold": events.PeerLoadsUpdated,
--- a/yarrowspindle/routing/draining.py
+++ b/yarrowspindle/routing/draining.py
@@ -8,7 +8,7 @@
 from yarrowspindle.routing.attempts import Attempts
 from yarrowspindle.routing.context import RoutingContext
 from yarrowspindle.routing.effects import CancelTimer, SetTimer
-from yarrowspindle.routing.events import DrainCancelled, ShutdownRequested
+from yarrowspindle.routing.events import DrainCancelled, ShutdownRequested, SuccessorServing
 from yarrowspindle.routing.requests import RequestHandlers
 from yarrowspindle.routing.state import Phase
 from yarrowspindle.routing.timers import SHUTDOWN_TIMER
@@ -40,6 +40,10 @@
             context.rebalancer.stop()
         context.effects.append(SetTimer(min(MIGRATION_START_DELAY_MS, event.time_limit_ms / 2.0), SHUTDOWN_TIMER))
 
+    def on_successor_serving(self, event: SuccessorServing) -> None:
+        """Notify the balancer that another process of this relay serves the clients."""
+        self._attempts.notify_balancer(balancer_events.SuccessorServing())
+
     def on_drain_cancelled(self, event: DrainCancelled) -> None:
         """Cancel the shutdown or drain, and stop migrating clients."""
         context = self._context
--- a/yarrowspindle/routing/endpoints.py
+++ b/yarrowspindle/routing/endpoints.py
@@ -57,6 +57,9 @@
         if event.kind is ListKind.FAILED:
             self._on_list_failed()
             return
+        if event.kind is ListKind.CONFIRMED:
+            self._attempts.notify_balancer(balancer_events.EndpointList(event.kind))
+            return
         context = self._context
         context.endpoint_list_version = event.version
         changes = EndpointChanges()
--- a/yarrowspindle/routing/events.py
+++ b/yarrowspindle/routing/events.py
@@ -172,6 +172,11 @@
     process_exits: bool = True
 
 
+@dataclass(slots=True)
+class SuccessorServing:
+    """Another process of this relay accepts clients at its address, and this one is shutting down."""
+
+
 @dataclass(slots=True)
 class SettingsChanged:
     """The settings changed; classes of requests in progress keep their numbers.
@@ -272,6 +277,7 @@
     | EndpointsUpdated
     | TimerFired
     | ShutdownRequested
+    | SuccessorServing
     | DrainCancelled
     | SettingsChanged
     | DiscoveryAddressChanged
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -22,7 +22,8 @@
 
     Args:
         names: zone and kind names from the settings.
-        on_update: called with each update, and with one of the kind FAILED when the watch ends.
+        on_update: called with each update, with one of the kind CONFIRMED when a service sends anything on a watch that
+            has received its list, and with one of the kind FAILED when the watch ends.
         on_failure: called with the reason, for the log, when the watch ends.
         log: called with a debug line for each call, its first list and its end.
 
@@ -148,6 +149,7 @@
         """Record the time at which the service sent data: any data confirms that its last list is still current."""
         if watch is self.watch or (watch is self.previous and watch.address == self.watch_address):
             self.last_active_at, self.last_active_address = asyncio.get_running_loop().time(), watch.address
+            self.on_update(EndpointsUpdated(ListKind.CONFIRMED))
 
     @staticmethod
     def _call_age_ms(watch: WatchConnection) -> float:
--- a/yarrowspindle/telemetry/guard.py
+++ b/yarrowspindle/telemetry/guard.py
@@ -248,7 +248,7 @@
     # --- backends ---------------------------------------------------------------------------------
 
     def _on_endpoints_updated(self, event: EndpointsUpdated) -> None:
-        if event.kind is ListKind.FAILED:
+        if event.kind in (ListKind.FAILED, ListKind.CONFIRMED):
             return
         if event.kind is not ListKind.DELTA:
             self._endpoints = {}
