Confirm the endpoint list before a process serves beside another one

What callers saw: a process that started in an upgrade placed requests by the cached list of its configuration, at a backend whose drain the running process had been told of before. Change: a process that finds another one listening at its address asks at once, and listens after its first list, or after 1 s or half of the longest deadline. Alone it starts as before.

--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -23,6 +23,7 @@
 from yarrowspindle.routing.events import SuccessorServing
 from yarrowspindle.runtime import SystemClock
 from yarrowspindle.telemetry.log import configure_log
+from yarrowspindle.transport.listening_sockets import other_process_listens
 
 if TYPE_CHECKING:  # optional features, whose dependencies may not be installed
     from yarrowspindle.daemon.maintenance_endpoint import MaintenanceEndpoint
@@ -45,6 +46,10 @@
 CONNECTION_CLOSE_S = 0.15
 SUCCESSOR_POLL_S = 0.02  # between two looks for another process of this relay, during a shutdown
 HAND_OVER_S = 0.1  # time limit for emptying an accept queue that fills up again
+# A process that starts beside another one waits this long for its first list, and no longer than this fraction of the
+# time for which the other one goes on serving after SIGTERM, which may arrive at once.
+MAX_LIST_WAIT_S = 1.0
+LIST_WAIT_FRACTION = 0.5
 # Garbage collection delays requests: objects that exist after the start are frozen, the others are collected rarely.
 GC_THRESHOLDS = (20_000, 50, 100)
 
@@ -93,6 +98,7 @@
         self._handle_signals()
         self.service.start()
         self._start_configuration()
+        await self._wait_for_list()
         await self._start_fronts()
         await self._start_membership()
         self._start_reports()
@@ -118,6 +124,18 @@
         self.configuration = RelayEndpoint(self.service, self.operator.control)
         self.configuration.start()
 
+    async def _wait_for_list(self) -> None:
+        """Wait for discovery before serving if another process of this relay serves, which may know newer lists."""
+        if not other_process_listens(self.config.listen):
+            return
+        max_wait_s = min(MAX_LIST_WAIT_S, LIST_WAIT_FRACTION * self.service.longest_deadline_ms() / 1000.0)
+        if await self.service.confirm_list(max_wait_s):
+            logger.info("another process of this relay serves: this one has confirmed the endpoint list and takes over")
+        else:
+            logger.warning(
+                "discovery has not answered within {:.1f} s: serving on the cached endpoint list", max_wait_s
+            )
+
     async def _start_fronts(self) -> None:
         descriptors = self._front_descriptors()
 
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
@@ -44,6 +45,7 @@
 MAX_DEADLINE_MS = 3000.0
 KILL_GRACE_MS = 700.0
 CLOSE_RESERVE_MS = 400.0  # part of that time, reserved for closing connections and for the exit of the process
+LIST_POLL_S = 0.01  # between two looks for the first list
 DRAIN_MS = 2500.0  # time within which an operator's drain migrates all established connections
 
 
@@ -189,6 +191,15 @@
         deadlines = (classes[number].deadline_ms for number in self.config.current_classes.values())
         return min(max(deadlines), MAX_DEADLINE_MS)
 
+    async def confirm_list(self, max_wait_s: float) -> bool:
+        """Request the endpoint list at once, and return whether discovery has delivered it within `max_wait_s`."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + max_wait_s
+        self.endpoint_watch.open(self.config.known.version, self.config.discovery)
+        while self.endpoint_watch.list_age_ms() is None and loop.time() < deadline:
+            await asyncio.sleep(LIST_POLL_S)
+        return self.endpoint_watch.list_age_ms() is not None
+
     def finish_shutdown(self) -> None:
         """Answer or migrate all remaining clients once the time of `begin_shutdown` has passed.
 
