--- a/tests/daemon/test_incomplete_lines.py
+++ b/tests/daemon/test_incomplete_lines.py
@@ -155,7 +155,8 @@
         client.writer.close()
         backend.writer.close()
         dropped = {
-            (await env.next_log_line("dropped an incomplete line")).split(" DEBUG ")[1].strip() for _ in range(2)
+            (await env.next_log_line("dropped an incomplete line")).split(f" DEBUG [{env.process.pid}] ")[1].strip()
+            for _ in range(2)
         }
         assert dropped == {
             "number=1 dropped an incomplete line of 2 bytes from client",
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -212,9 +212,13 @@
 
     async def next_log_line(self, text: str) -> str:
         """Wait for a log line that contains the text, and discard those before it."""
-        while text not in (line := await asyncio.wait_for(self.log.get(), TIMEOUT_S)):
-            pass
-        return line
+
+        async def find() -> str:
+            while text not in (line := await self.log.get()):
+                pass
+            return line
+
+        return await asyncio.wait_for(find(), TIMEOUT_S)
 
 
 @asynccontextmanager
