Poll discovery so that a list is confirmed again before it is too old

Change: while the age of the list is known, every pause is a fraction of the time left until it is 6 s old; a poll without an answer is hedged once.

--- /dev/null
+++ b/tests/daemon/test_list_age.py
@@ -0,0 +1,42 @@
+"""How old a relay's endpoint list gets when the watch on it fails, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S
+from tests.stand_ins import SETTINGS, RelayEnvironment, run
+
+MAX_LIST_AGE_S = 6.0
+SLOW_POLLS = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "balancers, first_call, answer_delay_s", ((30, "refused", 0.0), (3, "hangs", 0.8), (30, "hangs", 0.8))
+)
+@pytest.mark.parametrize("seed", ("2", "16"))
+def test_a_drain_is_known_in_time_although_the_watch_is_silent_and_the_next_call_fails(
+    tmp_path: Path, balancers: int, first_call: str, answer_delay_s: float, seed: str
+) -> None:
+    """Guard against a list that is confirmed 7 s after the watch has fallen silent, with discovery well."""
+
+    async def body(env: RelayEnvironment) -> None:
+        await env.next_watch()
+        env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
+        silent_since = time.monotonic()
+        await env.next_watch()
+        if first_call == "refused":
+            env.watch.writer.write(REFUSED)
+            env.watch.writer.close()
+        await env.next_watch()
+        await asyncio.sleep(answer_delay_s)
+        env.answer_watch(env.endpoint("s-1", "draining"), env.endpoint("s-2"))
+        await env.next_log_line("s-1 draining")
+        assert time.monotonic() - silent_since < MAX_LIST_AGE_S + GRACE_S + TIMEOUT_SLACK_S
+
+    run(tmp_path, body, seed=seed, balancers=balancers, obligations=SLOW_POLLS)
--- a/tests/decisions/test_discovery_polling.py
+++ b/tests/decisions/test_discovery_polling.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
+
+import pytest
+
 from tests.helpers import balancer, settings, timers
-from yarrowspindle.decisions.actions import WatchEndpoints
+from yarrowspindle.decisions.actions import SetTimer, WatchEndpoints
 from yarrowspindle.decisions.balancer import Balancer
 from yarrowspindle.decisions.events import (
     Endpoint,
@@ -11,6 +16,7 @@
     ListKind,
     TimerFired,
 )
+from yarrowspindle.decisions.list_freshness import MAX_LIST_AGE_MS
 
 
 def test_few_relays_poll_first_in_turn_and_many_within_a_time_limit() -> None:
@@ -54,3 +60,76 @@
 def test_discovery_that_pushes_its_list_is_never_polled() -> None:
     b = balancer(3)
     assert b.handle(0.0, EndpointList(ListKind.FAILED)) == []
+
+
+GRACE_MS, TIMEOUT_SLACK_MS = 400.0, 50.0
+SILENT_WATCH_MS = 2600.0  # until the transport reports a watch without data as failed
+HANGING_CALL_MS = 2200.0  # until it reports a call without an answer as failed
+
+
+def list_confirmed_again_ms(balancers: int, seed: int, calls: list[str], answer_ms: float) -> float:
+    """Return when the list is received again after a watch has fallen silent at 0.
+
+    Args:
+        balancers: number of relays that the settings state.
+        seed: seed of the relay's random numbers.
+        calls: what happens to the first calls: "refused" or "hangs"; later ones are answered.
+        answer_ms: how long an answer takes.
+    """
+    b = Balancer(settings(polls_discovery=True, balancers=balancers, poll_interval_ms=10_000.0), seed, 0.0)
+    b.handle(0.0, EndpointList(ListKind.FULL, [Endpoint(1)]))
+    b.handle(0.0, EndpointList(ListKind.CONFIRMED))
+    due: list[tuple[float, int, TimerFired | EndpointList]] = []
+    numbers = itertools.count()
+    pending = iter(calls)
+
+    def schedule(at: float, event: TimerFired | EndpointList) -> None:
+        heapq.heappush(due, (at, next(numbers), event))
+
+    schedule(SILENT_WATCH_MS, EndpointList(ListKind.FAILED))
+    while True:
+        now, _, event = heapq.heappop(due)
+        if isinstance(event, EndpointList) and event.kind is ListKind.FULL:
+            return now
+        for action in b.handle(now, event):
+            if isinstance(action, SetTimer):
+                schedule(now + action.delay_ms, TimerFired(action.token))
+            elif isinstance(action, WatchEndpoints):
+                outcome = next(pending, "answered")
+                if outcome == "answered":
+                    schedule(now + answer_ms, EndpointList(ListKind.FULL, [Endpoint(1)]))
+                else:
+                    failed_after_ms = 5.0 if outcome == "refused" else HANGING_CALL_MS
+                    schedule(now + failed_after_ms, EndpointList(ListKind.FAILED))
+
+
+@pytest.mark.parametrize("balancers", (1, 3, 30, 200, 1200))
+@pytest.mark.parametrize(
+    "calls, answer_ms",
+    ((["refused"], 20.0), (["refused", "refused"], 20.0), (["hangs"], 20.0), (["hangs"], 800.0), ([], 1500.0)),
+)
+def test_a_list_is_confirmed_again_before_it_is_too_old(balancers: int, calls: list[str], answer_ms: float) -> None:
+    """Guard against limits and pauses that are each short enough, and exceed 6 s and the drain grace in sum."""
+    latest = max(list_confirmed_again_ms(balancers, seed, calls, answer_ms) for seed in range(200))
+    assert latest <= MAX_LIST_AGE_MS + GRACE_MS + TIMEOUT_SLACK_MS
+
+
+def test_an_outage_of_discovery_costs_few_calls_of_each_relay() -> None:
+    """Guard against retries that a fleet of 1,200 relays on one discovery could not pay."""
+    for seed in range(50):
+        b = Balancer(settings(polls_discovery=True, balancers=1200, poll_interval_ms=10_000.0), seed, 0.0)
+        b.handle(0.0, EndpointList(ListKind.FULL, [Endpoint(1)]))
+        b.handle(0.0, EndpointList(ListKind.CONFIRMED))
+        due = [(SILENT_WATCH_MS, -1)]
+        calls = []
+        while due[0][0] < 30_000.0:
+            now, token = heapq.heappop(due)
+            for action in b.handle(now, EndpointList(ListKind.FAILED) if token < 0 else TimerFired(token)):
+                if isinstance(action, SetTimer):
+                    heapq.heappush(due, (now + action.delay_ms, action.token))
+                elif isinstance(action, WatchEndpoints):
+                    calls.append(now)
+                    heapq.heappush(due, (now + 5.0, -1))
+        assert len([at for at in calls if at <= MAX_LIST_AGE_MS]) <= 7
+        later = [at for at in calls if at > MAX_LIST_AGE_MS]
+        assert len(later) <= 1 + (30_000.0 - MAX_LIST_AGE_MS) / 1800.0
--- a/yarrowspindle/decisions/actions.py
+++ b/yarrowspindle/decisions/actions.py
@@ -70,9 +70,13 @@
 
 @dataclass(slots=True)
 class WatchEndpoints:
-    """Order to request the endpoint list from discovery."""
+    """Order to request the endpoint list from discovery.
+
+    renew: also if an earlier request has not been answered yet.
+    """
 
     on: bool = True
+    renew: bool = False
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/decisions/discovery_polling.py
+++ b/yarrowspindle/decisions/discovery_polling.py
@@ -2,40 +2,52 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from yarrowspindle.decisions.actions import WatchEndpoints
 from yarrowspindle.decisions.events import ListKind
+from yarrowspindle.decisions.list_freshness import MAX_LIST_AGE_MS
 from yarrowspindle.decisions.state import BalancerState
 
-MAX_LIST_AGE_MS = 6000.0  # time after its publication for which a list counts as current
 DISCOVERY_CALL_MS = 250.0  # time that discovery takes for one call
 FIRST_POLL_MS = 1500.0  # time within which all balancers poll after a start with a cached list
 MAX_FIRST_POLL_FRACTION = 0.8
+# Fractions of a polling round, the time in which every balancer can poll once.
+FIRST_RETRY_FRACTIONS = (0.0, 0.5)
+RETRY_FRACTIONS = (0.3, 0.6)
+MIN_REMAINING_MS = 500.0  # until a list gets too old; below it no further call is squeezed in
 
 
 class DiscoveryPolling:
-    """Polling of discovery with backoff and jitter, one call at a time.
+    """Polling of discovery with backoff and jitter.
+
+    While the age of the list is known, all pauses are fractions of the time that is left until the list is too old, so
+    that several calls fit in, and a call that is not answered is hedged once by another one beside it.
 
     Attributes:
         failures: number of consecutive failed polls.
+        polls: number of polls.
+        awaiting_list: whether the last poll has neither brought a list nor failed.
     """
 
     def __init__(self, state: BalancerState) -> None:
         self.state = state
         self.poll_scheduled = False
         self.failures = 0
+        self.polls = 0
+        self.awaiting_list = False
 
     def on_failure(self) -> None:
         """Schedule another poll: soon after the first failure, later after further ones, within MAX_LIST_AGE_MS."""
         self.failures += 1
-        if self.failures == 1:
-            self._schedule(0.0, 0.5)
-        else:
-            self._schedule(0.3, 0.6)
+        self.awaiting_list = False
+        self._schedule(*(FIRST_RETRY_FRACTIONS if self.failures == 1 else RETRY_FRACTIONS))
 
     def on_list(self, kind: ListKind) -> None:
         """Reset the failures after a list from discovery; schedule a poll to confirm a cached list."""
         if kind is not ListKind.CACHED:
             self.failures = 0
+            self.awaiting_list = False
             return
         polling_round_ms = min(DISCOVERY_CALL_MS * max(1, self.state.settings.balancers), MAX_LIST_AGE_MS)
         self._schedule(0.0, min(MAX_FIRST_POLL_FRACTION, FIRST_POLL_MS / polling_round_ms))
@@ -48,8 +60,29 @@
         self.poll_scheduled = True
         fraction = min_fraction + (max_fraction - min_fraction) * state.random()
         polling_round_ms = DISCOVERY_CALL_MS * (settings.balancers + 2 * self.failures)
-        state.set_timer(fraction * min(polling_round_ms, settings.poll_interval_ms, MAX_LIST_AGE_MS), self._poll)
+        polling_round_ms = min(polling_round_ms, settings.poll_interval_ms, MAX_LIST_AGE_MS)
+        remaining_ms = self._remaining_ms()
+        if remaining_ms is not None:
+            polling_round_ms = min(polling_round_ms, remaining_ms)
+        state.set_timer(fraction * polling_round_ms, self._poll)
+
+    def _remaining_ms(self) -> float | None:
+        """Return the time until the list is too old, or None if that is not known or too short for a call."""
+        remaining_ms = self.state.list_freshness.remaining_ms(self.state.now)
+        return remaining_ms if remaining_ms is not None and remaining_ms >= MIN_REMAINING_MS else None
 
     def _poll(self) -> None:
         self.poll_scheduled = False
+        self.polls += 1
+        self.awaiting_list = True
         self.state.emit(WatchEndpoints())
+        remaining_ms = self._remaining_ms()
+        if remaining_ms is not None:
+            min_fraction, max_fraction = RETRY_FRACTIONS
+            fraction = min_fraction + (max_fraction - min_fraction) * self.state.random()
+            self.state.set_timer(fraction * remaining_ms, partial(self._hedge, self.polls))
+
+    def _hedge(self, poll: int) -> None:
+        """Call discovery once more, beside this poll, if that is still the newest one and is not answered."""
+        if self.awaiting_list and poll == self.polls:
+            self.state.emit(WatchEndpoints(renew=True))
--- a/yarrowspindle/routing/attempts.py
+++ b/yarrowspindle/routing/attempts.py
@@ -72,7 +72,7 @@
         elif isinstance(action, actions.CheckHealth):
             self._check_health(self._backends_by_number.get(action.backend))
         elif isinstance(action, actions.WatchEndpoints):
-            self.watch_endpoints()
+            self.watch_endpoints(action.renew)
         elif isinstance(action, actions.LogMessage):
             self._context.effects.append(LogMessage(action.text))
         # CancelAttempt needs no effect: its client has disconnected, and that event has already aborted the attempt.
