Keep a slow call to discovery open beside the next one

What callers saw: a list that discovery had written, which counts as told, was never read. Change: at that time the next call is scheduled as after a failure, and the first stays open beside it for 6 s in all; the first list of any of them counts. A discovery that works through calls in turn so does no work for nothing.

--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -40,3 +40,17 @@
         assert time.monotonic() - silent_since < MAX_LIST_AGE_S + GRACE_S + TIMEOUT_SLACK_S
 
     run(tmp_path, body, seed=seed, balancers=balancers, obligations=SLOW_POLLS)
+
+
+def test_a_list_that_arrives_after_the_time_limit_of_its_call_is_used(tmp_path: Path) -> None:
+    """Guard against a call that is given up although its answer, which counts as told, is under way."""
+
+    async def body(env: RelayEnvironment) -> None:
+        await env.next_watch()
+        first = env.watch
+        await env.next_watch()
+        env.watch = first
+        env.answer_watch(env.endpoint("s-1", "draining"), env.endpoint("s-2"))
+        await env.next_log_line("s-1 draining")
+
+    run(tmp_path, body)
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -193,6 +193,19 @@
             update.since_last_update_ms = self._silence_ms(watch)
             self.on_update(update)
 
+    def first_list_overdue(self, watch: WatchConnection, reason: str) -> None:
+        """Report a failure of the newest call, so that another one is made, and keep it open beside that one."""
+        if watch is not self.watch or self.closed:
+            return
+        self.watch = None
+        self.pending_calls.append(watch)
+        self._report_failure(reason)
+
+    def _report_failure(self, reason: str) -> None:
+        self.counts["failures"] += 1
+        self.on_failure(f"{reason} ({self.describe()})")
+        self.on_update(EndpointsUpdated(ListKind.FAILED))
+
     def watch_ended(self, watch: WatchConnection, reason: str) -> None:
         """Remove a watch that ended, and report a failure if it was the newest call."""
         self.log(
@@ -207,6 +220,4 @@
         elif self.watch is watch:
             self.watch = None
             if not self.closed:
-                self.counts["failures"] += 1
-                self.on_failure(f"{reason} ({self.describe()})")
-                self.on_update(EndpointsUpdated(ListKind.FAILED))
+                self._report_failure(reason)
--- a/yarrowspindle/transport/endpoint_list_watch.py
+++ b/yarrowspindle/transport/endpoint_list_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol, cast
 
 from yarrowspindle.protocol.endpoint_list import ListError, WatchResponse, ZoneAndKindNames, watch_request
@@ -12,7 +13,8 @@
 
 # Changes that an inactive watch misses count as notified 6 s after its last update. Both time-outs and the pauses
 # between requests have to fit into that time.
-FIRST_LIST_TIMEOUT_S = 2.2  # from opening the connection; the service may delay its response for about this long
+FIRST_LIST_TIMEOUT_S = 2.2  # from opening the connection; after it another call is made beside this one
+MAX_CALL_S = 6.0  # from opening the connection; what the service sends until then counts as known to the relay
 MAX_INACTIVITY_S = 2.6  # the service sends at least an empty line every 2 s
 
 
@@ -25,6 +27,9 @@
     def watch_active(self, watch: WatchConnection) -> None:
         """Handle data on a watch that has delivered a list: the reported list is still up to date."""
 
+    def first_list_overdue(self, watch: WatchConnection, reason: str) -> None:
+        """Handle a call without a list for FIRST_LIST_TIMEOUT_S; it stays open, since its list may be under way."""
+
     def watch_ended(self, watch: WatchConnection, reason: str) -> None:
         """Handle the end of the watch, with a reason for the log. Called once."""
 
@@ -59,7 +64,12 @@
 
     def start_first_list_timer(self) -> None:
         """Start the time-out of the first list. Call it before the connection is opened."""
-        self._set_inactivity_timer(FIRST_LIST_TIMEOUT_S, f"no endpoint list within {FIRST_LIST_TIMEOUT_S} s")
+        self._set_inactivity_timer(FIRST_LIST_TIMEOUT_S, self._on_first_list_timeout)
+
+    def _on_first_list_timeout(self) -> None:
+        reason = f"no endpoint list within {MAX_CALL_S} s"
+        self._set_inactivity_timer(MAX_CALL_S - FIRST_LIST_TIMEOUT_S, self.end, reason)
+        self.sink.first_list_overdue(self, f"no endpoint list within {FIRST_LIST_TIMEOUT_S} s")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request, unless the watch ended while the connection was being established."""
@@ -69,10 +79,10 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.write(watch_request("{}:{}".format(*self.address), self.version))
 
-    def _set_inactivity_timer(self, timeout_s: float, reason: str) -> None:
+    def _set_inactivity_timer(self, timeout_s: float, callback: Callable[..., None], *args: object) -> None:
         if self.inactivity_timer is not None:
             self.inactivity_timer.cancel()
-        self.inactivity_timer = InactivityTimer(timeout_s, self.end, reason)
+        self.inactivity_timer = InactivityTimer(timeout_s, callback, *args)
 
     def data_received(self, data: bytes) -> None:
         """Report the completed lists, until a report ends the watch."""
@@ -92,7 +102,7 @@
         if self.response.ended:
             self.end("the discovery service ended the watch")
         elif self.has_list and not self.ended:  # empty lines before the first list do not extend its time-out
-            self._set_inactivity_timer(MAX_INACTIVITY_S, f"no data for {MAX_INACTIVITY_S} s")
+            self._set_inactivity_timer(MAX_INACTIVITY_S, self.end, f"no data for {MAX_INACTIVITY_S} s")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the watch."""
