Do not let a late answer of the former discovery replace the watch on the new one

What callers saw: after SIGHUP had moved discovery, a relay could stay on a watch at the former address, and be told nothing when that service was no longer in use. Cause: a pending call was promoted whatever its address, and ended the call to the new one. Change: what it delivers is used (it was told), but only until the new address has delivered a list. Measured: test_a_late_answer_of_the_former_ discovery_does_not_replace_the_watch_on_the_new_one failed before and passes.

--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S
-from tests.stand_ins import SETTINGS, RelayEnvironment, run
+from tests.stand_ins import SETTINGS, WATCH_RESPONSE_HEAD, LineServer, RelayEnvironment, run
 
 MAX_LIST_AGE_S = 6.0
 SLOW_POLLS = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
@@ -54,3 +54,26 @@
         await env.next_log_line("s-1 draining")
 
     run(tmp_path, body)
+
+
+def test_a_late_answer_of_the_former_discovery_does_not_replace_the_watch_on_the_new_one(tmp_path: Path) -> None:
+    """Guard against a relay that, after SIGHUP, stays on a service at the former address until that ends the watch."""
+
+    async def body(env: RelayEnvironment) -> None:
+        await env.next_watch()
+        hanging = env.watch
+        await env.next_watch()  # beside the hanging call
+        new_discovery = await LineServer().open()
+        env.reload(discovery=f"127.0.0.1:{new_discovery.port}")
+        watch = await new_discovery.next_connection()
+        while await watch.read_line():
+            pass
+        env.watch = hanging
+        env.answer_watch(env.endpoint("s-1", "draining"), env.endpoint("s-2"))
+        await env.next_log_line("s-1 draining")  # what a service has sent counts as told
+        watch.writer.write(
+            WATCH_RESPONSE_HEAD + env.endpoint_list_chunk(True, env.endpoint("s-1"), env.endpoint("s-2", "draining"))
+        )
+        await env.next_log_line("s-2 draining")
+
+    run(tmp_path, body)
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -113,6 +113,14 @@
             if later is not None:
                 self._end(later, "superseded: an earlier call received its list")
 
+    def _keep_as_previous(self, watch: WatchConnection) -> None:
+        """Use a pending call to an earlier address until the present address has delivered a list."""
+        self.pending_calls.remove(watch)
+        if self.previous is None and (self.watch is None or not self.watch.has_list):
+            self.previous = watch
+        else:
+            self._end(watch, "superseded: the address of discovery has changed")
+
     def close(self) -> None:
         """End all calls and report nothing more."""
         self.closed = True
@@ -168,7 +176,10 @@
         version numbers.
         """
         if watch in self.pending_calls:
-            self._promote(watch)
+            if watch.address == self.watch_address:
+                self._promote(watch)
+            else:
+                self._keep_as_previous(watch)
         if watch is self.watch and 0 < update.version < self.version:
             if update.kind is ListKind.DELTA:
                 return
