Retry a failed call for a pushed list several times within the drain grace

Cause: a fixed pause of 250 ms after each failed call. Change: 25 ms, doubled up to 250 ms; the agent is on the relay's own machine.

--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S
+from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S, Traffic, accept_requests, send_requests
 from tests.stand_ins import SETTINGS, WATCH_RESPONSE_HEAD, LineServer, RelayEnvironment, run
 
 MAX_LIST_AGE_S = 6.0
@@ -56,6 +56,33 @@
     run(tmp_path, body)
 
 
+def test_a_pushed_list_is_known_within_the_grace_although_the_watch_and_the_next_call_are_reset(tmp_path: Path) -> None:
+    """Guard against a fixed pause of 250 ms after each failed call, of which two exceed the grace."""
+
+    async def body(env: RelayEnvironment) -> None:
+        traffic = Traffic()
+        tasks = [asyncio.ensure_future(accept_requests(env, traffic))]
+        await env.next_watch()
+        env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
+        tasks.append(asyncio.ensure_future(send_requests(env, traffic, 0.02)))
+        await asyncio.sleep(0.05)
+        env.watch.writer.transport.abort()
+        drained_at = time.monotonic()
+        for _ in range(2):
+            await env.next_watch()
+            env.watch.writer.transport.abort()
+        for _ in range(3):
+            await env.next_watch()
+            env.answer_watch(env.endpoint("s-1", "draining"), env.endpoint("s-2"))
+        await asyncio.sleep(0.3)
+        for task in tasks:
+            task.cancel()
+        late = [after_s for after_s in traffic.sent_to("s-1", drained_at) if after_s > GRACE_S + TIMEOUT_SLACK_S]
+        assert late == [] and len(traffic.answers) > 10
+
+    run(tmp_path, body, discovery="automatic", limits=SETTINGS["limits"] | {"probing": False})
+
+
 def test_a_late_answer_of_the_former_discovery_does_not_replace_the_watch_on_the_new_one(tmp_path: Path) -> None:
     """Guard against a relay that, after SIGHUP, stays on a service at the former address until that ends the watch."""
 
--- a/yarrowspindle/routing/endpoints.py
+++ b/yarrowspindle/routing/endpoints.py
@@ -24,6 +24,9 @@
 # still arrives within it.
 WATCH_RENEWAL_FRACTION = 0.5
 MIN_WATCH_RENEWAL_MS = 250.0
+# After a failed call: so soon that several calls fit into the drain grace, then up to MIN_WATCH_RENEWAL_MS.
+FIRST_PUSH_RETRY_MS = 25.0
+MAX_PUSH_RETRY_DOUBLINGS = 4
 MAX_LOGGED_BACKENDS = 8
 
 
@@ -43,11 +46,12 @@
 class EndpointHandlers:
     """Handlers of updates of the endpoint list, changes of the discovery address, and steps of the wall clock."""
 
-    __slots__ = ("_context", "_attempts")
+    __slots__ = ("_context", "_attempts", "_failed_calls")
 
     def __init__(self, context: RoutingContext, attempts: Attempts) -> None:
         self._context = context
         self._attempts = attempts
+        self._failed_calls = 0  # in a row
 
     def on_endpoints_updated(self, event: EndpointsUpdated, log_changes: bool = True) -> None:
         """Apply the update, notify the balancer and abort the attempts that may no longer be sent.
@@ -60,6 +64,7 @@
         if event.kind is ListKind.CONFIRMED:
             self._attempts.notify_balancer(balancer_events.EndpointList(event.kind))
             return
+        self._failed_calls = 0
         context = self._context
         context.endpoint_list_version = event.version
         changes = EndpointChanges()
@@ -80,7 +85,9 @@
     def _on_list_failed(self) -> None:
         self._attempts.notify_balancer(balancer_events.EndpointList(ListKind.FAILED))
         if not self._context.settings.polls_discovery:
-            self._context.effects.append(SetTimer(MIN_WATCH_RENEWAL_MS, ENDPOINT_WATCH_TIMER))
+            retry_ms = FIRST_PUSH_RETRY_MS * 2.0 ** min(self._failed_calls, MAX_PUSH_RETRY_DOUBLINGS)
+            self._failed_calls += 1
+            self._context.effects.append(SetTimer(min(retry_ms, MIN_WATCH_RENEWAL_MS), ENDPOINT_WATCH_TIMER))
 
     def _remove_missing(self, endpoints: Sequence[Endpoint], changes: EndpointChanges) -> None:
         """Mark the backends that a full list does not contain as removed."""
