Soak two overlapping processes of a relay, judged as one relay

What one process was told binds the other at once (the old one), or 2 s after it listens (the new one).

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from benchmarks.common import machine_size
-from benchmarks.soak.plan import FAULTS, NEEDS_SHIM, fault_pairs, make_plan
+from benchmarks.soak.plan import FAULTS, NEEDS_SHIM, UPGRADE, fault_pairs, make_plan
 from benchmarks.soak.planted import DEFECTS
 from benchmarks.soak.seed_run import RULES, Report, run_plan
 from benchmarks.soak.shim import build
@@ -33,6 +33,9 @@
     parser.add_argument(
         "--faults", default="", help=f"comma-separated kinds of faults (default: all): {', '.join(FAULTS)}"
     )
+    parser.add_argument(
+        "--upgrades", action="store_true", help="replace processes of relays by second ones that start beside them"
+    )
     parser.add_argument(
         "--planted",
         default="",
@@ -57,7 +60,7 @@
 
 def run_seed(seed: int, options: argparse.Namespace, kinds: list[str], shim_library: Path | None, logs: Path) -> Report:
     """Run one seed, and return its report."""
-    plan = make_plan(seed, options.processes, options.seconds, kinds)
+    plan = make_plan(seed, options.processes, options.seconds, kinds, options.upgrades)
     return uvloop.run(run_plan(plan, logs / str(seed), shim_library, options.planted))
 
 
@@ -84,7 +87,7 @@
             faults.update(fault.kind for fault in report.plan.faults)
             totals.update(violation.rule.value for violation in report.violations)
             any_violation = any_violation or bool(report.violations)
-    possible_pairs = len(fault_pairs(kinds))
+    possible_pairs = len(fault_pairs([*kinds, UPGRADE] if options.upgrades else kinds))
     found = ", ".join(f"{rule} {count}" for rule, count in totals.items() if count) or "none"
     coverage = f"{len(pairs)} of {possible_pairs} pairs of faults overlapped"
     print(f"{options.seeds} seeds, {requests} requests, {coverage}; violations: {found}")
@@ -101,6 +104,7 @@
         "seed": options.seed,
         "seconds": options.seconds,
         "planted": options.planted,
+        "upgrades": options.upgrades,
         "pairs_possible": possible_pairs,
     }
     result |= machine_size() | {"took_s": round(time.perf_counter() - started_at, 1)}
--- a/benchmarks/soak/discovery.py
+++ b/benchmarks/soak/discovery.py
@@ -49,6 +49,7 @@
         self.random = Random(f"discovery {context.plan.seed}")
         self.removed: set[str] = set()
         self.down_since: float | None = None
+        self.process_faults: dict[str, str] = {}  # relay process -> "hang" or "refuse": the fault of its calls alone
 
     async def open(self, address: tuple[str, int], relay: str) -> None:
         """Serve a relay process at this address, unless discovery is down."""
@@ -67,12 +68,13 @@
     async def _serve(self, relay: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer one request for the endpoint list, and keep it open as a watch."""
         await reader.readuntil(b"\r\n\r\n")
-        if self.behaviour == "hang":
+        behaviour = self.process_faults.get(relay) or self.behaviour
+        if behaviour == "hang":
             await reader.read()
             return
-        if self.behaviour == "slow":
+        if behaviour == "slow":
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
-        if self.behaviour == "refuse":
+        if behaviour == "refuse":
             if self.random.random() < 0.5:
                 writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
             return
@@ -138,15 +140,16 @@
 
     # --- faults -----------------------------------------------------------------------------------
 
-    def silence_watches(self) -> None:
-        """Send nothing more on the watches that are open; new ones work."""
+    def silence_watches(self, relay: str = "") -> None:
+        """Send nothing more on the watches that are open, of all relay processes or of one; new ones work."""
         for watch in self.watches:
-            watch.silent = True
+            watch.silent = watch.silent or relay in ("", watch.relay)
 
-    def break_watches(self) -> None:
-        """Reset all open watches."""
+    def break_watches(self, relay: str = "") -> None:
+        """Reset the open watches of all relay processes, or of one."""
         for watch in list(self.watches):
-            watch.writer.transport.abort()
+            if relay in ("", watch.relay):
+                watch.writer.transport.abort()
 
     def go_down(self) -> None:
         """Stop listening, and reset all watches."""
--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -153,6 +153,8 @@
         backend_starts: backend -> when it was restarted.
         start_updates: (relay process, backend) -> when discovery informed it of a start time.
         cpu_waits: relay process -> samples of the time, and how long it had waited for a CPU in total by then.
+        overlaps: pairs of processes of one relay, the earlier one first, that ran at the same time.
+        siblings: relay process -> the other processes of its relay, and from when it must know what they were told.
         loop_lags: when the soak's event loop was late, and by how much; for the report only.
     """
 
@@ -169,6 +171,8 @@
         self.start_updates: dict[tuple[str, str], list[float]] = {}
         self.cpu_waits: dict[str, list[tuple[float, float]]] = {}
         self.loop_lags: list[tuple[float, float]] = []
+        self.overlaps: list[tuple[str, str]] = []
+        self.siblings: dict[str, list[tuple[str, float]]] = {}
         self.crashes: list[Crash] = []
         self.violations: list[Violation] = []
 
@@ -336,9 +340,9 @@
         None is returned if it need not know.
         """
         known_since = None
-        for when, ready in self.endpoint_updates.get((relay, backend), ()):
+        for when, ready, binds_at in self._updates_of_relay(relay, backend):
             if when <= at:
-                known_since = None if ready else (when if known_since is None else known_since)
+                known_since = None if ready else min(binds_at, inf if known_since is None else known_since)
         changes = [(when, ready) for when, ready in self.state_changes.get(backend, ()) if when <= at]
         if not changes or changes[-1][1]:
             return known_since if not changes else None
@@ -351,6 +355,15 @@
                 when = max(when, end)
         return min(known_since, when + PROPAGATION_S) if known_since is not None else when + PROPAGATION_S
 
+    def _updates_of_relay(self, relay: str, backend: str) -> list[tuple[float, bool, float]]:
+        """Return when discovery informed this process and its siblings, of what, and when that binds this process."""
+        updates = [(when, ready, when) for when, ready in self.endpoint_updates.get((relay, backend), ())]
+        for sibling, since in self.siblings.get(relay, ()):
+            updates += [
+                (when, ready, max(when, since)) for when, ready in self.endpoint_updates.get((sibling, backend), ())
+            ]
+        return sorted(updates)
+
     def _check_slow_start(self, backend: str, start: float, budget: SlowStartBudget) -> None:
         """Check that a restarted backend gets no more requests than its slow-start budget per window."""
         sent = sorted(
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -27,6 +27,8 @@
     "leave": "clients disconnect early, by a close, a half-close or a reset",
     "rude": "clients send malformed, oversized or partial input, or nothing",
 }
+# Added to every seed by --upgrades, never drawn: a second process of a relay starts beside the first one.
+UPGRADE = "upgrade"
 NEEDS_SHIM = frozenset(("clock", "calls", "pieces"))
 RELAY_RATES = (14.0, 14.0, 40.0)  # requests per second and relay; one is drawn
 MAX_TOTAL_RATE = 420.0  # requests per second of all relays; above it the soak's single process falls behind
@@ -66,6 +68,7 @@
     Attributes:
         clock_step_ms: offset of the wall clock of every other relay from its start.
         requests_per_relay_s: the mean rate of requests per relay.
+        upgrades: whether processes of relays are replaced by second ones that start beside them.
         descriptors: the configured descriptor limit of the relays in a run with idle clients; 0 configures no limit, in
             a run without idle clients.
     """
@@ -79,6 +82,7 @@
     clock_step_ms: int
     requests_per_relay_s: float
     descriptors: int = 0
+    upgrades: bool = False
 
     def pairs(self) -> set[frozenset[str]]:
         """Return the pairs of kinds of faults that overlap in time."""
@@ -168,11 +172,11 @@
     }
 
 
-def make_plan(seed: int, relays: int, seconds: float, kinds: list[str]) -> Plan:
+def make_plan(seed: int, relays: int, seconds: float, kinds: list[str], upgrades: bool = False) -> Plan:
     """Return the plan of a seed: two sets of up to three faults, each set at one time.
 
     Each set contains one pair of kinds. Consecutive seeds step through all pairs of kinds, so that half as many seeds
-    as there are pairs cover each pair.
+    as there are pairs cover each pair. With `upgrades`, an upgrade begins in each half as well; all else is the same.
     """
     random = Random(f"soak {seed}")
     backends = max(8, relays)
@@ -187,7 +191,16 @@
             start_s = WARM_UP_S + half * half_s + random.uniform(0.0, 0.25) * half_s
             faults.append(Fault(kind, start_s, half_s * random.uniform(0.55, 0.75), random.getrandbits(30)))
     clock_step_ms = random.choice((0, 0, -3_600_000, 3_600_000, -4000, 4000)) if "clock" in kinds else 0
+    if upgrades:
+        faults += _draw_upgrades(seed, half_s)
     faults.sort(key=lambda fault: fault.start_s)
     rate = min(random.choice(RELAY_RATES), MAX_TOTAL_RATE / relays)
     descriptors = IDLE_CLIENTS_DESCRIPTORS if Random(f"crowd of {seed}").random() < IDLE_CLIENTS_SHARE else 0
-    return Plan(seed, relays, backends, seconds, settings, tuple(faults), clock_step_ms, rate, descriptors)
+    return Plan(seed, relays, backends, seconds, settings, tuple(faults), clock_step_ms, rate, descriptors, upgrades)
+
+
+def _draw_upgrades(seed: int, half_s: float) -> list[Fault]:
+    """Return one upgrade for each half of the run."""
+    random = Random(f"upgrade {seed}")
+    starts_s = [WARM_UP_S + (half + random.uniform(0.0, 0.4)) * half_s for half in range(2)]
+    return [Fault(UPGRADE, start_s, half_s / 2.0, random.getrandbits(30)) for start_s in starts_s]
--- a/benchmarks/soak/planted.py
+++ b/benchmarks/soak/planted.py
@@ -173,6 +173,11 @@
     RequestHandlers.on_request_received = received  # type: ignore[method-assign]
 
 
+def ignore_successors() -> None:
+    """Let a process that ends serve on beside its successor, whatever the age of its list."""
+    line_front.LineFront.successor_listens = lambda self: False  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     defect.__name__: defect
     for defect in (
@@ -189,6 +194,7 @@
         end_newcomers,
         end_at_once,
         answer_late,
+        ignore_successors,
     )
 }
 
--- a/benchmarks/soak/relay_shutdown.py
+++ b/benchmarks/soak/relay_shutdown.py
@@ -61,6 +61,11 @@
     """Kill the relay; requests without answer or MOVE are lost, unless it was delayed for longer than MAX_HOLD_S."""
     oracle, sigterm_at, now = relay.context.oracle, relay.sigterm_at, relay.context.now()
     connections = relay.open_requests.copy()
+    # Either process of an upgrade may hold a connection to their address; those that the kill ends were this one's.
+    shared = relay.replaced_by.open_requests.copy() if relay.replaced_by is not None else {}
+    for connection in shared.values():
+        connection.read()
+    open_before = [request for request in shared if is_unfinished(request) and request.ended_at == inf]
     for connection in connections.values():
         connection.read()
     unfinished = [
@@ -73,6 +78,9 @@
     await relay.kill_at_once()
     for connection in connections.values():
         connection.read()  # data that the relay wrote before the kill
+    for connection in shared.values():
+        connection.read()
+    unfinished += [request for request in open_before if request.ended_at < inf and not request.raced_close]
     if held_s > MAX_HOLD_S:
         return
     elapsed = f"{now - sigterm_at:.3f} s after SIGTERM"
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -24,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S, READY_POLL_S = 10.0, 0.05
+LISTENING_LOG_MARK = b" serves at "
 CPU_WAIT_SAMPLE_S = 0.025
 FAILURE_MARKS = ("Traceback (most recent call last)", " invariant ", "Exception in callback")
 LOG_LINE_START = re.compile(r"\d\d:\d\d:\d\d\.\d\d\d [A-Z]+ ")  # start of each line that the relay logs itself
@@ -67,9 +68,13 @@
         number: the relay's number.
         discovery: the discovery service that the relay asks.
         planted: the name of a defect to plant in it (see `planted.py`); empty for none.
+        address: where clients connect; None: an unused address.
 
     Attributes:
         start_times: the start of each incarnation.
+        upgrading: a second process of this relay starts or has just started.
+        replaced_by: the second process of the same relay, which started beside this one.
+        ready_at: when the process that started beside another one began to listen.
         serving: the relay has answered a PING since its start, and its process was not ended since.
         sigterm_at: when SIGTERM was sent.
         open_requests: the clients' connections by unfinished request.
@@ -77,11 +82,22 @@
         signal_lock: held for the duration of a suspension or a kill.
     """
 
-    def __init__(self, context: RunContext, number: int, discovery: Discovery, planted: str) -> None:
+    def __init__(
+        self,
+        context: RunContext,
+        number: int,
+        discovery: Discovery,
+        planted: str,
+        address: tuple[str, int] | None = None,
+    ) -> None:
         self.context, self.number, self.discovery, self.planted = context, number, discovery, planted
         self.name, self.incarnation = f"r{number}", 0
         self.start_times: list[float] = []
-        self.address = context.allocate_address(number % 90)
+        self.config_name = self.name
+        self.address = address or context.allocate_address(number % 90)
+        self.upgrading = False
+        self.replaced_by: Relay | None = None
+        self.ready_at: float | None = None
         self.discovery_addresses = [context.allocate_address(number % 90) for _ in range(2)]
         self.discovery_index = 0  # of the address that the configuration names
         self.random = Random(f"relay {context.plan.seed} {number}")
@@ -130,14 +146,28 @@
             "known": self.initial_endpoints | {"revision": 1},
             "limits": {"sockets": self.context.plan.descriptors},
         }
-        path = self.context.folder / f"{self.name}.json"
+        path = self.context.folder / f"{self.config_name}.json"
         new = path.with_suffix(".new")
         new.write_text(json.dumps(config))
         new.replace(path)
         return path
 
-    async def start(self) -> None:
-        """Start the process, and wait until it serves; a failure to do so is recorded."""
+    def create_successor(self) -> Relay:
+        """Return a second process of this relay, with discovery addresses and a configuration file of its own."""
+        successor = Relay(self.context, self.number, self.discovery, self.planted, self.address)
+        successor.incarnation, successor.start_times = self.incarnation, list(self.start_times)
+        successor.config_name = f"{self.name}-{self.incarnation + 1}"
+        successor.initial_endpoints = self.initial_endpoints
+        successor.clock_step_ms = self.clock_step_ms
+        successor.upgrading = True
+        self.replaced_by = successor
+        return successor
+
+    async def start(self, beside: bool = False) -> None:
+        """Start the process, and wait until it serves; a failure to do so is recorded.
+
+        beside: another process of the relay serves at the same address, and would answer a PING.
+        """
         self.incarnation += 1
         self.start_times.append(self.context.now() if self.incarnation > 1 else 0.0)
         self.shutting_down = False
@@ -162,7 +192,18 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=env, stderr=log, stdout=log
             )
-        await self._wait_until_ready()
+        await (self._wait_until_listening() if beside else self._wait_until_ready())
+
+    async def _wait_until_listening(self) -> None:
+        """Wait until the log shows that the process listens; record a failure if not within READY_TIMEOUT_S."""
+        until = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until and self.alive:
+            if LISTENING_LOG_MARK in self.log_path().read_bytes():
+                self.serving, self.ready_at = True, self.context.now()
+                return
+            await asyncio.sleep(READY_POLL_S)
+        if self.alive:
+            self.context.oracle.crashes.append(Crash(f"{self.instance} did not listen within {READY_TIMEOUT_S:g} s"))
 
     async def _wait_until_ready(self) -> None:
         """Wait until the relay answers PING; record a failure if it does not within READY_TIMEOUT_S."""
--- a/benchmarks/soak/seed_run.py
+++ b/benchmarks/soak/seed_run.py
@@ -13,14 +13,14 @@
 from pathlib import Path
 from random import Random
 
-from benchmarks.soak import relay_shutdown, shim
+from benchmarks.soak import relay_shutdown, shim, upgrade
 from benchmarks.soak.backends import Backend
 from benchmarks.soak.clients import Clients
 from benchmarks.soak.discovery import Discovery
 from benchmarks.soak.idle_clients import IdleClients
 from benchmarks.soak.kernel_timestamps import enable_receive_timestamps
 from benchmarks.soak.oracle import Rule, SlowStartBudget, Violation
-from benchmarks.soak.plan import Fault, Plan
+from benchmarks.soak.plan import UPGRADE, Fault, Plan
 from benchmarks.soak.relays import Relay, watch_cpu_waits
 from benchmarks.soak.run_context import RunContext
 from benchmarks.soak.shim import Field
@@ -75,6 +75,7 @@
         self.backends = [Backend(self.context, number) for number in range(plan.backends)]
         self.discovery = Discovery(self.context, self.backends)
         self.relays = [Relay(self.context, number, self.discovery, planted) for number in range(plan.relays)]
+        self.retired: list[Relay] = []  # processes that a second one has replaced
         self.clients = Clients(self.context, self.relays)
         self.handlers: dict[str, Callable[[Fault, Random], Awaitable[None]]] = {
             "term": self._term,
@@ -95,6 +96,7 @@
             "list": self._list,
             "leave": self._leave,
             "rude": self._rude,
+            UPGRADE: lambda fault, random: upgrade.upgrade_relays(self, random),
         }
 
     async def run(self) -> Report:
@@ -131,6 +133,7 @@
         for relay in self.relays:
             for connection in list(relay.open_requests.values()):
                 connection.read()
+        upgrade.attribute_requests(self)
         until = context.now()
         for task in list(context.tasks):
             task.cancel()
@@ -176,6 +179,10 @@
             matching = [line for line in log if name in line or client in line]
             report.timelines[name] += [f"log {line}" for line in matching]
 
+    async def watch_cpu_wait(self, relay: Relay) -> None:
+        """Sample how long a process that was replaced has waited for a CPU."""
+        await watch_cpu_waits([relay])
+
     # --- faults -----------------------------------------------------------------------------------
 
     async def _run_fault(self, fault: Fault) -> None:
@@ -189,7 +196,7 @@
 
     def _sample_relays(self, random: Random, max_count: int) -> list[Relay]:
         """Return 1 to `max_count` random relays that serve and do not shut down."""
-        serving = [relay for relay in self.relays if relay.serving and not relay.shutting_down]
+        serving = [relay for relay in self.relays if relay.serving and not relay.shutting_down and not relay.upgrading]
         return random.sample(serving, min(len(serving), random.randint(1, max_count)))
 
     def _sample_backends(self, random: Random, share: float = AFFECTED_SHARE) -> list[Backend]:
@@ -384,7 +391,7 @@
     try:
         return await seed_run.run()
     finally:
-        for relay in seed_run.relays:
+        for relay in (*seed_run.relays, *seed_run.retired):
             relay.send_signal(signal.SIGCONT)
             relay.send_signal(signal.SIGKILL)
         for task in list(seed_run.context.tasks):
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -128,6 +128,19 @@
     return change
 
 
+def inform_sibling(sent: float, binds_from: float, ready_again_at: float | None = None) -> Callable[[Oracle], None]:
+    """Let discovery inform only the other process of the relay of a drain, at 5 s."""
+
+    def change(oracle: Oracle) -> None:
+        send_to_drained_backend(5.0, sent, informed=False)(oracle)
+        oracle.endpoint_updates["r0.2", "s-1"] = [(5.0, False)]
+        oracle.siblings["r0.1"] = [("r0.2", binds_from)]
+        if ready_again_at is not None:
+            oracle.endpoint_updates["r0.1", "s-1"] = [(ready_again_at, True)]
+
+    return change
+
+
 def suspend_relay(oracle: Oracle) -> None:
     oracle.requests["a"].answers[:] = [(3.4, "BUSY")]
     oracle.requests["a"].ended_at = 3.5
@@ -211,6 +224,11 @@
     "attempt begun after the deadline": (with_attempts(make_attempt("s-1", 2.3)), Rule.DEADLINE),
     "sent within the drain grace": (send_to_drained_backend(5.0, 5.4), None),
     "sent after the drain grace": (send_to_drained_backend(5.0, 5.5), Rule.DRAIN),
+    "sent within the drain grace after the other process was informed": (inform_sibling(5.4, 0.0), None),
+    "sent after the drain grace after the other process was informed": (inform_sibling(5.5, 0.0), Rule.DRAIN),
+    "sent before the process must know what the other one knows": (inform_sibling(7.4, 7.0), None),
+    "sent after the process must know what the other one knows": (inform_sibling(7.5, 7.0), Rule.DRAIN),
+    "sent after the process was informed that the backend is ready": (inform_sibling(5.9, 0.0, 5.8), None),
     "sent before the relay must know of the drain": (send_to_drained_backend(5.0, 11.3, informed=False), None),
     "sent after the relay must know of the drain": (send_to_drained_backend(5.0, 11.5, informed=False), Rule.DRAIN),
     "sent just after a discovery outage": (send_to_drained_backend(5.0, 12.0, informed=False, outage_end=6.0), None),
@@ -294,12 +312,13 @@
 
 
 # Shutdowns and suspensions; the same with many idle clients; failing accepts with many idle clients; suspended relays
-# and idle connections.
+# and idle connections; second processes that start beside the first.
 SHORT_SOAKS = (
     ("--seed", "9106", "--faults", "term,stop,hup"),
     ("--seed", "9103", "--faults", "term,kill,freeze"),
     ("--seed", "9305", "--faults", "term,calls,leave"),
     ("--seed", "7408", "--seconds", "12"),
+    ("--seed", "5002", "--faults", "refuse,leave", "--upgrades"),
 )
 
 
