Let the library confirm and hedge its watched list as the daemon does

Change: WatchedList.renew; the placer counts no confirmations. Measured: test_the_list_is_watched_over_http_as_the_daemon_does has two more checks, which fail without the change (the hanging call was aborted before the next one); tests/library passes.

--- a/tests/library/test_library.py
+++ b/tests/library/test_library.py
@@ -403,6 +403,10 @@
             watch.writer.transport.abort()
             while placer.reducer.balancer.discovery.failures == 0:
                 await asyncio.sleep(0.001)
+            hanging, _ = await service.next_request()
+            await service.next_request()
+            assert not hanging.reader.at_eof(), "a call without an answer is hedged by another one beside it"
+            assert placer.counters()["lists"] == 2, "the list and the failure, no heartbeat"
 
     asyncio.run(body())
 
--- a/yarrowspindle/library/placer.py
+++ b/yarrowspindle/library/placer.py
@@ -22,11 +22,12 @@
 from types import TracebackType
 from typing import Any
 
+from yarrowspindle.decisions.events import ListKind
 from yarrowspindle.decisions.settings import Settings
 from yarrowspindle.library.errors import PlacerClosed, Rejected, WrongContext
 from yarrowspindle.library.placement import Placement
 from yarrowspindle.library.settings import LibrarySettings, index_of
-from yarrowspindle.library.sources import Source
+from yarrowspindle.library.sources import Source, WatchedList
 from yarrowspindle.routing.effects import BackendRemoved, Effect, WatchEndpoints
 from yarrowspindle.routing.events import AttemptEnded, EndpointsUpdated, Event, RequestReceived, ShutdownRequested
 from yarrowspindle.routing.reducer import Reducer
@@ -349,11 +350,16 @@
 
     def _on_endpoints(self, update: EndpointsUpdated) -> None:
         if self.state is PlacerState.OPEN:
-            self.counts["lists"] += 1
+            if update.kind is not ListKind.CONFIRMED:
+                self.counts["lists"] += 1
             self.post(update)
 
     def _watch(self, effect: WatchEndpoints) -> None:
-        if self.source is not None and self.state is PlacerState.OPEN:
+        if self.source is None or self.state is not PlacerState.OPEN:
+            return
+        if effect.renew and isinstance(self.source, WatchedList):
+            self.source.renew(effect.version)
+        else:
             self.source.ask(effect.version)
 
     def _log(self, level: str, text: str) -> None:
--- a/yarrowspindle/library/sources.py
+++ b/yarrowspindle/library/sources.py
@@ -86,6 +86,10 @@
         """Open a watch from this version on if none is open."""
         self.watch.open(version, self.address)
 
+    def renew(self, version: int) -> None:
+        """Open a watch from this version on beside one that has not delivered a list yet."""
+        self.watch.open(version, self.address, renew=True)
+
     def close(self) -> None:
         """Close the watch."""
         self.watch.close()
