Accept connections again if the successor ends before this process does

Cause: since a process that ends leaves its address to a second process; if that one is killed meanwhile, nobody listens until it is started again. Change: it listens again, once, and then hands over no more, so that two processes that both end don't take turns. Measured: test_the_old_process_serves_again_if_the_new_one_dies fails without the change and passes.

--- a/tests/daemon/test_upgrade_drains.py
+++ b/tests/daemon/test_upgrade_drains.py
@@ -13,7 +13,6 @@
 from tests.daemon.upgrade import (
     GRACE_S,
     TIMEOUT_SLACK_S,
-    SecondProcess,
     Traffic,
     accept_requests,
     second_process,
@@ -26,7 +25,7 @@
 LONG_DEADLINE: dict[str, Any] = {"categories": [CHAT | {"deadline_ms": 1000.0 * DEADLINE_S}]}
 KILL_S = DEADLINE_S + 0.7  # the operators' SIGKILL, after SIGTERM
 DRAIN_AFTER_S = 1.03  # from SIGTERM to the drain
-FRONT_DELAY_S = 0.4  # the front sends new connections for this long after SIGTERM, also if no other process listens
+HAND_OVER_S = 0.15  # a process may be held up for this long before it leaves new connections to the other one
 
 
 async def hang_next_call(env: RelayEnvironment) -> None:
@@ -68,6 +67,8 @@
             await asyncio.sleep(stopped_at + DRAIN_AFTER_S - time.monotonic())
             second_watch.writer.write(env.endpoint_list_chunk(False, env.endpoint("s-1", "draining")))
             drained_at = time.monotonic()
+            await second.wait_for_log("serves at")
+            handed_over_by = time.monotonic() + HAND_OVER_S
             assert await asyncio.wait_for(env.process.wait(), stopped_at + KILL_S - time.monotonic()) == 0
             await asyncio.sleep(0.1)
             for task in tasks:
@@ -77,8 +78,8 @@
         assert late == [], f"sent to the draining backend {late} s after its drain"
         other = [answer for answer in answers if answer.word not in ("UP", "BUSY")]
         assert other == [] and len(answers) > 50, f"drained at {drained_at}"
-        served = sum(answer.word == "UP" for answer in answers)
-        assert served > 0.7 * len(answers), f"{served} of {len(answers)} served"
+        later = [answer.word for answer in answers if answer.connected_at > handed_over_by]
+        assert set(later) == {"UP"}, "each connection that is opened once the new process serves"
 
     run(tmp_path, body, **LONG_DEADLINE)
 
@@ -101,11 +102,11 @@
 
     async def body(env: RelayEnvironment) -> None:
         async with second_process(env) as second:
+            await second.wait_for_log("serves at")
             env.stop()
             stopped_at = time.monotonic()
             answers = await pings(env, stopped_at + 2.0)
-            serving_at = next(at for at, answer in answers if answer == "PONG")
-            handed_over_by = max(serving_at + 0.15, stopped_at + FRONT_DELAY_S)
+            handed_over_by = stopped_at + HAND_OVER_S
             late = [round(at - stopped_at, 3) for at, answer in answers if at > handed_over_by and answer != "PONG"]
             assert late == [], f"not answered by the new process {late} s after SIGTERM"
             assert "refused" not in {answer for _, answer in answers}
@@ -130,11 +131,6 @@
     run(tmp_path, body, **LONG_DEADLINE)
 
 
-async def wait_for_log(second: SecondProcess, text: str) -> None:
-    while not any(text in line for line in second.log_lines):
-        await asyncio.sleep(0.005)
-
-
 def test_a_new_process_does_not_use_a_cached_list_that_the_old_process_knows_to_be_outdated(tmp_path: Path) -> None:
     """Guard against a start on the cached list of the configuration, in which a drain of long ago is missing."""
 
@@ -152,7 +148,7 @@
             await asyncio.sleep(0.5)  # discovery takes its time
             second.discovery.accepted.put_nowait(call)
             await second.answer_watch(s_1="draining", s_2="ready")
-            await wait_for_log(second, "s-1 draining")
+            await second.wait_for_log("s-1 draining")
             await asyncio.sleep(0.3)
             for task in tasks:
                 task.cancel()
@@ -170,12 +166,29 @@
     async def body(env: RelayEnvironment) -> None:
         async with second_process(env) as second:
             started_at = time.monotonic()
-            await wait_for_log(second, "serves at")
+            await second.wait_for_log("serves at")
             assert time.monotonic() - started_at < DEADLINE_S
 
     run(tmp_path, body)
 
 
+def test_the_old_process_serves_again_if_the_new_one_dies(tmp_path: Path) -> None:
+    """Guard against a relay without a listener, since the process that took over was killed."""
+
+    async def body(env: RelayEnvironment) -> None:
+        await env.next_watch()
+        env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
+        async with second_process(env) as second:
+            env.stop()
+            await env.next_log_line("new connections are left to it")
+            second.process.kill()
+            await second.process.wait()
+            await env.next_log_line("new connections are accepted again")
+            await env.established_connection()
+
+    run(tmp_path, body, **LONG_DEADLINE)
+
+
 # --- the last moments of a process -----------------------------------------------------------------
 
 
--- a/tests/daemon/upgrade.py
+++ b/tests/daemon/upgrade.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
-from tests.stand_ins import ROOT, LinePeer, LineServer, RelayEnvironment
+from tests.stand_ins import ROOT, TIMEOUT_S, LinePeer, LineServer, RelayEnvironment
 
 TIMEOUT_SLACK_S = 0.05  # the operators' tolerance on each time limit on sockets
 CROSSING_S = 0.001  # a close that arrives this soon after a line on an idle connection was under way before it
@@ -30,10 +31,10 @@
 
 @dataclass
 class Answer:
-    """The first answer to a request; sent_at, at: time.monotonic seconds. word: empty if the connection was closed."""
+    """The first answer to a request; times are time.monotonic seconds. word: empty if the connection was closed."""
 
     word: str
-    sent_at: float
+    connected_at: float
     at: float
 
 
@@ -61,6 +62,15 @@
         while line := (await self.process.stderr.readline()).decode():
             self.log_lines.append(line)
 
+    async def wait_for_log(self, text: str) -> None:
+        """Wait until a line of the process's log contains the text."""
+
+        async def find() -> None:
+            while not any(text in line for line in self.log_lines):
+                await asyncio.sleep(0.005)
+
+        await asyncio.wait_for(find(), TIMEOUT_S)
+
     async def answer_watch(self, **phases: str) -> LinePeer:
         """Answer the process's next call to discovery with a full list, and return the watch."""
         watch = await self.discovery.next_connection()
@@ -86,7 +96,7 @@
     reading = asyncio.ensure_future(second.read_log())
     try:
         yield second
-        assert process.returncode is None, "the second process has ended"
+        assert process.returncode in (None, -signal.SIGKILL), "the second process has ended by itself"
     finally:
         with suppress(ProcessLookupError):
             process.kill()
@@ -125,18 +135,18 @@
 
 
 async def _send_request(env: RelayEnvironment, traffic: Traffic, idle_s: float) -> None:
+    connected_at = time.monotonic()
     try:
         client = await env.connect_client()
         await asyncio.sleep(idle_s)
         if client.reader.at_eof():  # the relay has closed the idle connection
             return
         line = f"OPEN {next(env.request_ids):016x} 7f3a9c21e0b4d655 c=chat,t=acme,d=1500,g=5c0f"
-        sent_at = time.monotonic()
         client.send_lines(line)
         await asyncio.sleep(CROSSING_S)
         if idle_s and client.reader.at_eof():
             return  # the line crossed the close of the idle connection
         answer = await client.read_line()
     except OSError:
-        sent_at, answer = time.monotonic(), ""
-    traffic.answers.append(Answer(answer.partition(" ")[0], sent_at, time.monotonic()))
+        answer = ""
+    traffic.answers.append(Answer(answer.partition(" ")[0], connected_at, time.monotonic()))
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -192,17 +192,36 @@
             self.reports.append(asyncio.get_running_loop().create_task(reporting))
 
     async def _hand_over_to_successor(self, deadline: float) -> None:
-        """Leave the new connections to another process of this relay as soon as one listens, up to the deadline."""
-        loop = asyncio.get_running_loop()
-        if self.front is None:
+        """Leave new connections to another process of this relay while one listens, until the deadline.
+
+        If that process ends first, this one accepts connections again, and does not hand over a second time: of two
+        processes that both end, neither would listen.
+        """
+        if await self._successor_changes(True, deadline):
+            logger.info("another process of this relay serves: new connections are left to it")
+            self.service.post(SuccessorServing())
+            assert self.front is not None
+            await self.front.hand_over(asyncio.get_running_loop().time() + HAND_OVER_S)
+            if await self._successor_changes(False, deadline):
+                self._take_back(self.front)
+
+    def _take_back(self, front: LineFront) -> None:
+        try:
+            front.listen()
+        except OSError as error:
+            logger.error("the other process of this relay has ended, and its address is not available: {}", error)
             return
-        while loop.time() < deadline - SUCCESSOR_POLL_S:
-            if self.front.successor_listens():
-                logger.info("another process of this relay serves: new connections are left to it")
-                self.service.post(SuccessorServing())
-                await self.front.hand_over(loop.time() + HAND_OVER_S)
-                return
+        self.service.post(SuccessorServing(False))
+        logger.warning("the other process of this relay has ended: new connections are accepted again")
+
+    async def _successor_changes(self, listens: bool, deadline: float) -> bool:
+        """Wait until another process listens, or no longer does; return False if it does not happen in time."""
+        loop = asyncio.get_running_loop()
+        while self.front is not None and loop.time() < deadline - SUCCESSOR_POLL_S:
+            if self.front.successor_listens() is listens:
+                return True
             await asyncio.sleep(SUCCESSOR_POLL_S)
+        return False
 
     async def _shut_down(self) -> None:
         """Migrate connections and answer requests, then close the parts, each after those that depend on it."""
--- a/yarrowspindle/decisions/balancer.py
+++ b/yarrowspindle/decisions/balancer.py
@@ -158,7 +158,7 @@
         self.state.ends_at = self.state.now + event.remaining_ms
 
     def _on_successor_serving(self, event: SuccessorServing) -> None:
-        self.state.list_freshness.successor_serves = True
+        self.state.list_freshness.successor_serves = event.serving
 
     def _on_rebalancing_target(self, event: RebalancingTarget) -> None:
         self.state.rebalancing_target = event.level
--- a/yarrowspindle/decisions/events.py
+++ b/yarrowspindle/decisions/events.py
@@ -184,7 +184,12 @@
 
 @dataclass(slots=True)
 class SuccessorServing:
-    """Takeover by another process of the same relay, which accepts the clients of this one from now on."""
+    """Takeover by another process of the same relay, which accepts the clients of this one from now on.
+
+    serving: False once that process has ended, so that this one serves alone again.
+    """
+
+    serving: bool = True
 
 
 @dataclass(slots=True)
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -103,17 +103,26 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        self.listener = Listener(
-            self.config.listen, BACKLOG, self._client_connection, self.limiter.make_room, self.log_warning
-        )
+        self.listen()
         self.service.fronts.append(self)
         self.service.connected_backends.append(self.connected_backends)
         logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
         return self
 
+    def listen(self) -> None:
+        """Accept connections, also again after `hand_over`.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        self.listener = Listener(
+            self.config.listen, BACKLOG, self._client_connection, self.limiter.make_room, self.log_warning
+        )
+
     def successor_listens(self) -> bool:
         """Return whether another process of this relay listens at the clients' address."""
-        return other_process_listens(self.config.listen, self.listener.sock)
+        own = None if self.listener.closed else self.listener.sock
+        return other_process_listens(self.config.listen, own)
 
     async def hand_over(self, deadline_s: float) -> None:
         """Stop listening, so that new connections go to the other process; those in the accept queue stay here.
--- a/yarrowspindle/routing/draining.py
+++ b/yarrowspindle/routing/draining.py
@@ -41,8 +41,8 @@
         context.effects.append(SetTimer(min(MIGRATION_START_DELAY_MS, event.time_limit_ms / 2.0), SHUTDOWN_TIMER))
 
     def on_successor_serving(self, event: SuccessorServing) -> None:
-        """Notify the balancer that another process of this relay serves the clients."""
-        self._attempts.notify_balancer(balancer_events.SuccessorServing())
+        """Notify the balancer whether another process of this relay serves the clients."""
+        self._attempts.notify_balancer(balancer_events.SuccessorServing(event.serving))
 
     def on_drain_cancelled(self, event: DrainCancelled) -> None:
         """Cancel the shutdown or drain, and stop migrating clients."""
--- a/yarrowspindle/routing/events.py
+++ b/yarrowspindle/routing/events.py
@@ -174,7 +174,13 @@
 
 @dataclass(slots=True)
 class SuccessorServing:
-    """Another process of this relay accepts clients at its address, and this one is shutting down."""
+    """Another process of this relay accepts clients at its address, and this one is shutting down.
+
+    Attributes:
+        serving: False once that process has ended.
+    """
+
+    serving: bool = True
 
 
 @dataclass(slots=True)
