Do not count the host's own failing system calls as failures of discovery

Evidence: the relay's new log lines: the list is pushed, an outage of the agent had just ended, the watch was gone, and calls 16, 18 and 19 ended with ENOMEM and ENOBUFS of connect (fault calls), 250 ms apart; call 20 brought the drain.

--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S, Traffic, accept_requests, send_requests
 from tests.stand_ins import SETTINGS, WATCH_RESPONSE_HEAD, LineServer, RelayEnvironment, run
+from yarrowspindle.decisions.events import ListKind
+from yarrowspindle.protocol.endpoint_list import ZoneAndKindNames
+from yarrowspindle.runtime.endpoint_watch import EndpointWatch
 
 MAX_LIST_AGE_S = 6.0
 SLOW_POLLS = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
@@ -83,6 +88,35 @@
     run(tmp_path, body, discovery="automatic", limits=SETTINGS["limits"] | {"probing": False})
 
 
+@pytest.mark.parametrize("error_number", (errno.ENOMEM, errno.ENOBUFS, errno.EMFILE))
+def test_failing_system_calls_of_the_relay_do_not_count_as_failures_of_discovery(
+    error_number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a pause of 250 ms or more after each of them, of which two exceed the grace."""
+
+    async def body() -> None:
+        loop, failures_left = asyncio.get_running_loop(), 8
+        connect = loop.create_connection
+
+        async def fail_first(*args: Any, **kwargs: Any) -> Any:
+            nonlocal failures_left
+            if failures_left:
+                failures_left -= 1
+                raise OSError(error_number, "the system is short of it")
+            return await connect(*args, **kwargs)
+
+        monkeypatch.setattr(loop, "create_connection", fail_first)
+        discovery = await LineServer().open()
+        updates: list[ListKind] = []
+        watch = EndpointWatch(ZoneAndKindNames(), lambda update: updates.append(update.kind), lambda reason: None)
+        watch.open(1, ("127.0.0.1", discovery.port))
+        await asyncio.wait_for(discovery.next_connection(), GRACE_S)
+        assert updates == [] and not failures_left
+        watch.close()
+
+    asyncio.run(body())
+
+
 def test_a_late_answer_of_the_former_discovery_does_not_replace_the_watch_on_the_new_one(tmp_path: Path) -> None:
     """Guard against a relay that, after SIGHUP, stays on a service at the former address until that ends the watch."""
 
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -6,14 +6,16 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from yarrowspindle.decisions.events import ListKind
 from yarrowspindle.protocol.endpoint_list import ZoneAndKindNames
 from yarrowspindle.routing.address import Address
 from yarrowspindle.routing.events import EndpointsUpdated
-from yarrowspindle.transport.connector import Connector
+from yarrowspindle.transport.connector import ConnectFailure, Connector
 from yarrowspindle.transport.endpoint_list_watch import WatchConnection
 
+LOCAL_RETRY_S = 0.025  # after a failure of this host's own system calls
 MAX_PENDING_CALLS = 12  # calls in flight besides the newest; each one times out on its own
 
 
@@ -82,9 +84,22 @@
             f"{self.describe()} pending_calls={len(self.pending_calls)} previous_open={self.previous is not None}"
         )
         watch.start_first_list_timer()
-        connecting = Connector(watch, address, lambda failure: watch.end(str(failure)))
-        self.connecting[watch] = connecting
-        connecting.start()
+        self._connect(watch)
+
+    def _connect(self, watch: WatchConnection) -> None:
+        if not watch.ended:
+            self.connecting[watch] = connecting = Connector(watch, watch.address, partial(self._on_failure, watch))
+            connecting.start()
+
+    def _on_failure(self, watch: WatchConnection, failure: ConnectFailure) -> None:
+        """End a call that did not reach discovery; if a fault of this host is the cause, connect again."""
+        self.connecting.pop(watch, None)
+        if failure.unexpected or not failure.is_local or watch is not self.watch:
+            watch.end(str(failure))
+            return
+        self.counts["local_failures"] += 1
+        self.log(f"discovery call={watch.number} connects again: {failure}")
+        asyncio.get_running_loop().call_later(LOCAL_RETRY_S, self._connect, watch)
 
     def _replace(self, replaced: WatchConnection, address: Address) -> None:
         self.watch = None
