--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -200,6 +200,14 @@
         with_attempts(make_attempt("s-1", 1.01, "BUSY"), make_attempt("s-2", 1.1)),
         None,
     ),
+    "run by one backend and rejected by another less than a tick later": (
+        with_attempts(make_attempt("s-1", 1.01), make_attempt("s-2", 1.016, "BUSY", 1.017)),
+        None,
+    ),
+    "run by one backend and rejected by another over a tick later": (
+        with_attempts(make_attempt("s-1", 1.01), make_attempt("s-2", 1.022, "BUSY", 1.023)),
+        Rule.DUPLICATE,
+    ),
     "two attempts in flight": (
         with_attempts(make_attempt("s-1", 1.01, "", 2.0), make_attempt("s-2", 1.1), effect="pure"),
         Rule.DUPLICATE,
