Try the age of a list in reload and shutdown too

Cause: the rule for a list's age has to hold in every state of a process. Change: the silent watch with a call refused or hung, and the pushed list with two resets, also with SIGHUP and with SIGTERM in between (start and upgrade: test_upgrade_drains.py).

--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,15 +19,35 @@
 
 MAX_LIST_AGE_S = 6.0
 SLOW_POLLS = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
+STATE_CHANGE_S = 3.3  # after the last data on the watch; a process that is stopped then lives to the end of the test
+LONG_DEADLINE = [dict(SETTINGS["categories"][0]) | {"deadline_ms": 3000.0}]
 REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
+def stay(env: RelayEnvironment) -> None:
+    """Leave the relay as it is."""
+
+
 @pytest.mark.parametrize(
-    "balancers, first_call, answer_delay_s", ((30, "refused", 0.0), (3, "hangs", 0.8), (30, "hangs", 0.8))
+    "balancers, first_call, answer_delay_s, change_state",
+    (
+        (30, "refused", 0.0, stay),
+        (3, "hangs", 0.8, stay),
+        (30, "hangs", 0.8, stay),
+        (30, "refused", 0.0, RelayEnvironment.reload),
+        (30, "hangs", 0.8, RelayEnvironment.reload),
+        (30, "refused", 0.0, RelayEnvironment.stop),
+        (30, "hangs", 0.8, RelayEnvironment.stop),
+    ),
 )
 @pytest.mark.parametrize("seed", ("2", "16"))
 def test_a_drain_is_known_in_time_although_the_watch_is_silent_and_the_next_call_fails(
-    tmp_path: Path, balancers: int, first_call: str, answer_delay_s: float, seed: str
+    tmp_path: Path,
+    balancers: int,
+    first_call: str,
+    answer_delay_s: float,
+    change_state: Callable[[RelayEnvironment], None],
+    seed: str,
 ) -> None:
     """Guard against a list that is confirmed 7 s after the watch has fallen silent, with discovery well."""
 
@@ -34,6 +55,7 @@
         await env.next_watch()
         env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
         silent_since = time.monotonic()
+        asyncio.get_running_loop().call_later(STATE_CHANGE_S, change_state, env)
         await env.next_watch()
         if first_call == "refused":
             env.watch.writer.write(REFUSED)
@@ -44,7 +66,7 @@
         await env.next_log_line("s-1 draining")
         assert time.monotonic() - silent_since < MAX_LIST_AGE_S + GRACE_S + TIMEOUT_SLACK_S
 
-    run(tmp_path, body, seed=seed, balancers=balancers, obligations=SLOW_POLLS)
+    run(tmp_path, body, seed=seed, balancers=balancers, obligations=SLOW_POLLS, categories=LONG_DEADLINE)
 
 
 def test_a_list_that_arrives_after_the_time_limit_of_its_call_is_used(tmp_path: Path) -> None:
@@ -61,7 +83,10 @@
     run(tmp_path, body)
 
 
-def test_a_pushed_list_is_known_within_the_grace_although_the_watch_and_the_next_call_are_reset(tmp_path: Path) -> None:
+@pytest.mark.parametrize("change_state", (stay, RelayEnvironment.reload, RelayEnvironment.stop))
+def test_a_pushed_list_is_known_within_the_grace_although_the_watch_and_the_next_call_are_reset(
+    tmp_path: Path, change_state: Callable[[RelayEnvironment], None]
+) -> None:
     """Guard against a fixed pause of 250 ms after each failed call, of which two exceed the grace."""
 
     async def body(env: RelayEnvironment) -> None:
@@ -70,6 +95,7 @@
         await env.next_watch()
         env.answer_watch(env.endpoint("s-1"), env.endpoint("s-2"))
         tasks.append(asyncio.ensure_future(send_requests(env, traffic, 0.02)))
+        change_state(env)
         await asyncio.sleep(0.05)
         env.watch.writer.transport.abort()
         drained_at = time.monotonic()
