--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -5,6 +5,7 @@
 import re
 from pathlib import Path
 
+from tests.stand_ins import ROOT
 from tools import api_reference
 
 README = Path(__file__).resolve().parent.parent / "README.md"
@@ -21,3 +22,11 @@
     assert api_reference.PAGE.read_text(encoding="utf-8") == api_reference.page(), (
         "the API reference is out of date: run python -m tools.api_reference"
     )
+
+
+def test_the_page_on_crossing_events_names_only_files_that_exist() -> None:
+    """Guard against a page that leads on-call staff to modules and tests that were renamed."""
+    page = (ROOT / "docs" / "design" / "crossings.md").read_text(encoding="utf-8")
+    named = {Path(name).name for name in re.findall(r"`([a-z_/]+\.py)`", page)}
+    existing = {path.name for folder in ("yarrowspindle", "tests") for path in (ROOT / folder).rglob("*.py")}
+    assert named - existing == set()
