Count no attempt of the soak as begun before its request was sent

The relay's log: list 11 made s-0 ready at 38.648, the request was received and forwarded at 38.649, list_age_ms=1. The backend's stand-in had read the first byte to a tick, 3 ms before the client had sent the request, and so before s-0 was ready. Change: the drain check takes the later of the two times. It lets nothing pass that a relay could do.

--- a/benchmarks/soak/oracle.py
+++ b/benchmarks/soak/oracle.py
@@ -328,13 +328,13 @@
     def _check_drains(self, request: Request, attempts: list[Attempt]) -> None:
         """Check that no attempt begins at a draining or removed backend after the drain grace."""
         for attempt in attempts:
-            must_know_at = self._not_ready_since(request.relay, attempt.backend, attempt.first_byte_at)
+            # An attempt's time may be a tick early, but no attempt begins before its request was sent.
+            began_at = max(attempt.first_byte_at, request.sent_at)
+            must_know_at = self._not_ready_since(request.relay, attempt.backend, began_at)
             if must_know_at is None:
                 continue
-            late_s = attempt.first_byte_at - must_know_at
-            if late_s > self.drain_grace_s + TIMEOUT_SLACK_S + self.held_s(
-                request.relay, must_know_at, attempt.first_byte_at
-            ):
+            late_s = began_at - must_know_at
+            if late_s > self.drain_grace_s + TIMEOUT_SLACK_S + self.held_s(request.relay, must_know_at, began_at):
                 description = (
                     f"sent to {attempt.backend} {late_s:.3f} s after the relay must know of its drain or removal"
                 )
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -141,6 +141,18 @@
     return change
 
 
+def send_as_backend_is_ready_again(first_byte_at: float, sent_at: float) -> Callable[[Oracle], None]:
+    """Let a backend drain at 5 s and be ready again at 9 s."""
+
+    def change(oracle: Oracle) -> None:
+        send_to_drained_backend(5.0, first_byte_at)(oracle)
+        oracle.requests["a"].sent_at = sent_at
+        oracle.state_changes["s-1"].append((9.0, True))
+        oracle.endpoint_updates["r0.1", "s-1"].append((9.0, True))
+
+    return change
+
+
 def suspend_relay(oracle: Oracle) -> None:
     oracle.requests["a"].answers[:] = [(3.4, "BUSY")]
     oracle.requests["a"].ended_at = 3.5
@@ -237,6 +249,8 @@
     "sent before the process must know what the other one knows": (inform_sibling(7.4, 7.0), None),
     "sent after the process must know what the other one knows": (inform_sibling(7.5, 7.0), Rule.DRAIN),
     "sent after the process was informed that the backend is ready": (inform_sibling(5.9, 0.0, 5.8), None),
+    "sent as the backend is ready again, read as a tick before": (send_as_backend_is_ready_again(8.997, 9.002), None),
+    "sent just before the backend is ready again": (send_as_backend_is_ready_again(8.997, 8.99), Rule.DRAIN),
     "sent before the relay must know of the drain": (send_to_drained_backend(5.0, 11.3, informed=False), None),
     "sent after the relay must know of the drain": (send_to_drained_backend(5.0, 11.5, informed=False), Rule.DRAIN),
     "sent just after a discovery outage": (send_to_drained_backend(5.0, 12.0, informed=False, outage_end=6.0), None),
