Let the soak's discovery count as up only once it listens again

The list is pushed and discovery was down to 4.28 s; a drain published at 4.365 s counted as told, but the relay's log shows its calls refused until 5.15 s: recover() marked discovery as up and then opened one address after the other, for 0.9 s on the busy machine. Change: it counts as up once all addresses are open; what is published meanwhile counts from then.

--- a/benchmarks/soak/discovery.py
+++ b/benchmarks/soak/discovery.py
@@ -162,11 +162,12 @@
     async def recover(self) -> None:
         """End any fault; after an outage, record it and the changes that were made during it."""
         if self.down_since is not None:
-            down_since = self.down_since
-            self.behaviour, self.down_since = "", None
-            write_began_at = self.context.now()
-            for address, relay in self.relays.items():
+            self.behaviour = ""
+            for address, relay in list(self.relays.items()):
                 await self.open(address, relay)
+            # A change that is published while the addresses are being opened has reached no relay yet.
+            down_since, self.down_since = self.down_since, None
+            write_began_at = self.context.now()
             self.context.oracle.discovery_outages.append((down_since, self.context.now()))
             for backend in self.backends:
                 changes = self.context.oracle.state_changes.setdefault(backend.name, [(0.0, True)])
