Review: the stand-ins take ports outside the range that the kernel deals out

Cause: a port that is bound seconds after it was chosen, as the new process's of an upgrade, could have been dealt to a connection meanwhile. Change: ports from 6000 to 11999.

--- a/review/common2/stand_ins.py
+++ b/review/common2/stand_ins.py
@@ -93,10 +93,14 @@
 
 
 def free_port() -> int:
-    """Return a port that no process uses at the moment."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that no process uses at the moment, outside the range from which the kernel deals them out."""
+    for _ in range(200):
+        port = random.randrange(6000, 12000)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp, suppress(OSError):
+            tcp.bind((HOST, port))
+            udp.bind((HOST, port))
+            return port
+    raise RuntimeError("no free port was found")
 
 
 class Record:
