Review: scripts that run beside each other choose no port twice

Cause: one of five runs of case 8 beside the other cases ended with 2, since two scripts had chosen the same port. Change: each script takes its ports in order from a block by its process id.

--- a/review/common2/stand_ins.py
+++ b/review/common2/stand_ins.py
@@ -16,13 +16,15 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
+from functools import cache
 from pathlib import Path
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+FIRST_PORT, PORTS_PER_SCRIPT, PORT_BLOCKS = 6000, 60, 100  # scripts that run beside each other share no port
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses of a case
 HEARTBEAT_S = 2.0  # an idle watch gets an empty line at this interval
 SLACK_S = 0.05  # each time limit of the rules is longer by this on sockets
@@ -92,10 +94,16 @@
 }
 
 
+@cache
+def ports() -> Iterator[int]:
+    """Return the ports of this script: a block of its own, outside the range that the kernel deals out."""
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_SCRIPT
+    return iter(range(first, first + PORTS_PER_SCRIPT))
+
+
 def free_port() -> int:
-    """Return a port that no process uses at the moment, outside the range from which the kernel deals them out."""
-    for _ in range(200):
-        port = random.randrange(6000, 12000)
+    """Return a port that no process uses, and that this script has not been given before."""
+    for port in ports():
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp, suppress(OSError):
             tcp.bind((HOST, port))
             udp.bind((HOST, port))
