Count and log the times in which the relay accepts no client for lack of room

Change: counters connections.accepted, .no_room, .no_room_ms and .closed_to_make_room, gauges connections.open, .answered and .without_request, and one warning after each time of 0.1 s or more without room.

--- a/yarrowspindle/fronts/connection_limiter.py
+++ b/yarrowspindle/fronts/connection_limiter.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import resource
+from collections import Counter
 from collections.abc import Callable
 from itertools import islice
 from pathlib import Path
@@ -20,6 +21,8 @@
 MAX_CANDIDATES = 16  # oldest connections checked for one whose socket has no unread data
 MIN_AGE_S = 0.03  # time to send the first line, which usually follows the connection at once; none is closed sooner
 FALLBACK_USED_DESCRIPTORS = 32  # if the system has no /proc/self/fd
+MIN_LOGGED_PAUSE_S = 0.1  # without room; a shorter pause is only counted
+MS_PER_S = 1000.0
 
 
 def descriptors_left(configured: int = 0) -> int:
@@ -46,8 +49,11 @@
         clock: returns seconds.
         end_if_silent: returns whether the kernel holds no unread data of a connection, and may end sending on it if so;
             unread data could be its first line.
+        log_warning: receives a text for each long time without room.
 
     Attributes:
+        counts: connections accepted and closed to make room, and the times without room.
+        full_since: since when no connection could be accepted; None if one could at the last attempt.
         connections: client and backend connections that have a descriptor or are about to open one.
         without_request: time of acceptance of each client connection without a request, oldest first.
         answered: time of the answer on each client connection that was answered, oldest first.
@@ -58,12 +64,12 @@
         max_descriptors: int,
         clock: Callable[[], float],
         end_if_silent: Callable[[LineConnection], bool] = lambda side: True,
+        log_warning: Callable[[str], None] = lambda text: None,
     ) -> None:
-        self.max_connections, self.clock, self.end_if_silent = (
-            max_descriptors - RESERVED_DESCRIPTORS,
-            clock,
-            end_if_silent,
-        )
+        self.max_connections = max_descriptors - RESERVED_DESCRIPTORS
+        self.clock, self.end_if_silent, self.log_warning = clock, end_if_silent, log_warning
+        self.counts: Counter[str] = Counter()
+        self.full_since: float | None = None
         self.max_idle = max(MIN_IDLE_CONNECTIONS, int(self.max_connections * MAX_IDLE_FRACTION))
         self.connections: set[LineConnection] = set()
         self.without_request: dict[LineConnection, float] = {}
@@ -73,6 +79,7 @@
         """Count a client connection that was accepted."""
         self.connections.add(side)
         self.without_request[side] = self.clock()
+        self.counts["accepted"] += 1
 
     def on_backend_connecting(self, side: LineConnection) -> None:
         """Count a connection to a backend that is about to be opened."""
@@ -103,9 +110,36 @@
         """Return whether one more connection may be accepted; close idle ones first if that is needed and possible."""
         while self._is_full():
             if not self._close_oldest():
+                self._on_no_room()
                 return False
+        self._on_room()
         return True
 
+    def gauges(self) -> dict[str, float]:
+        """Return the numbers of connections by their published names."""
+        return {
+            "connections.open": float(len(self.connections)),
+            "connections.answered": float(len(self.answered)),
+            "connections.without_request": float(len(self.without_request)),
+        }
+
+    def _on_no_room(self) -> None:
+        if self.full_since is None:
+            self.full_since = self.clock()
+            self.counts["no_room"] += 1
+
+    def _on_room(self) -> None:
+        if self.full_since is None:
+            return
+        pause_s, self.full_since = self.clock() - self.full_since, None
+        self.counts["no_room_ms"] += round(MS_PER_S * pause_s)
+        if pause_s >= MIN_LOGGED_PAUSE_S:
+            self.log_warning(
+                f"no connection was accepted for {MS_PER_S * pause_s:.0f} ms: {len(self.connections)} are open, of at "
+                f"most {self.max_connections}; {len(self.answered)} of them answered and {len(self.without_request)} "
+                f"without a request, of at most {self.max_idle}"
+            )
+
     def _is_full(self) -> bool:
         without_request = len(self.without_request)  # each needs one more, for its backend, once it sends its request
         return (
@@ -120,6 +154,7 @@
                 if since > latest_start:
                     break
                 if self.end_if_silent(side):
+                    self.counts["closed_to_make_room"] += 1
                     self.on_closed(side)
                     side.abort()
                     return True
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -78,9 +78,9 @@
     def __init__(self, service: RelayService, descriptors: int) -> None:
         self.service, self.config, self.runtime = service, service.config, service.runtime
         self.loop = asyncio.get_running_loop()
-        self.limiter = ConnectionLimiter(descriptors, self.loop.time, self._end_if_silent)
-        self.idle_close_reason = IdleCloseReason.NO_FIRST_LINE
         self.log = RateLimitedLog(self.loop.time)
+        self.limiter = ConnectionLimiter(descriptors, self.loop.time, self._end_if_silent, self.log_warning)
+        self.idle_close_reason = IdleCloseReason.NO_FIRST_LINE
         self.network = LocalNetworkMonitor()
         self.clients: dict[int, ClientConnection] = {}
         self.first_lines: dict[int, OpenRequest] = {}
@@ -106,6 +106,8 @@
         self.listen()
         self.service.fronts.append(self)
         self.service.connected_backends.append(self.connected_backends)
+        self.service.metrics.counter_sources["connections"] = self.limiter.counts
+        self.service.metrics.gauge_sources.append(self.limiter.gauges)
         logger.info("{} serves at {}:{}", self.config.name, *self.config.listen)
         return self
 
