Accept clients while answered ones send on, and discard their data in turns

Cause: no connection was ended for room while the kernel held unread data of its client, which is always so for an answered client that sends on; and their data was discarded as fast as it came, 4 to 5 GB/s, with turns of the event loop of 60 to 140 ms and the processor at 100 %. A batch of accepts did not count its own connections (60 where 43 are allowed).

Change: answered clients that still send are ended for room once their system has the answer, before silent ones without a request; what is discarded is read in turns within one budget for all connections; a connection counts from its accept on. Moved clients that linger count as answered, too.

--- a/tests/fronts/test_connection_limiter.py
+++ b/tests/fronts/test_connection_limiter.py
@@ -84,3 +84,38 @@
     unread.update(sides)
     limiter.on_accepted(cast(Any, StubConnection()))
     assert not limiter.make_room(), "no client is closed before the event loop has read its data"
+
+
+def test_an_answered_client_that_still_sends_is_closed_once_it_has_its_answer() -> None:
+    """Guard against an accept queue that waits for seconds because each answered client has unread data."""
+    now, delivered = [0.0], set[Any]()
+    limiter = ConnectionLimiter(
+        40 + RESERVED_DESCRIPTORS, lambda: now[0], lambda side: False, lambda side: side in delivered
+    )
+    sides = []
+    while limiter.make_room():
+        sides.append(cast(Any, StubConnection()))
+        limiter.on_accepted(sides[-1])
+        limiter.on_answered(sides[-1])
+    delivered.update(sides[1:])
+    assert not limiter.make_room(), "an answer gets some time to be read"
+    now[0] += 2.0 * MIN_AGE_S
+    assert limiter.make_room()
+    assert [side.aborted for side in sides] == [False, True] + [False] * (len(sides) - 2)
+
+
+def test_a_silent_client_without_a_request_stays_while_one_that_was_answered_can_be_closed() -> None:
+    """Guard against idle clients that are closed in place of those that flood the relay."""
+    now = [0.0]
+    limiter = ConnectionLimiter(
+        40 + RESERVED_DESCRIPTORS, lambda: now[0], lambda side: side is idle, lambda side: side is not idle
+    )
+    idle = cast(Any, StubConnection())
+    limiter.on_accepted(idle)
+    while limiter.make_room():
+        side = cast(Any, StubConnection())
+        limiter.on_accepted(side)
+        limiter.on_answered(side)
+    now[0] += 2.0 * MIN_AGE_S
+    answered = len(limiter.answered)
+    assert limiter.make_room() and not idle.aborted and len(limiter.answered) == answered - 1
--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -138,3 +138,27 @@
             writer.close()
 
     uvloop.run(body())
+
+
+def test_each_connection_of_a_batch_counts_before_the_next_one_is_accepted() -> None:
+    """Guard against a batch that exceeds the limit of connections, by descriptors that others need."""
+
+    async def body() -> None:
+        port, limit = free_port(), 3
+        accepted: list[AcceptedConnection] = []
+
+        def factory() -> AcceptedConnection:
+            accepted.append(AcceptedConnection())
+            return accepted[-1]
+
+        listening = Listener(("127.0.0.1", port), 1024, factory, lambda: len(accepted) < limit, lambda text: None)
+        # Without a turn of the event loop in between, so that all are in the accept queue.
+        clients = [socket.create_connection(("127.0.0.1", port)) for _ in range(3 * limit)]
+        await asyncio.sleep(5.0 * MAX_PAUSE_S)
+        assert len(accepted) == limit
+        limit = len(clients)
+        await listening.close(listening.loop.time() + 1.0)
+        for client in clients:
+            client.close()
+
+    uvloop.run(body())
--- a/yarrowspindle/fronts/connection_limiter.py
+++ b/yarrowspindle/fronts/connection_limiter.py
@@ -1,8 +1,12 @@
 """Limits the accepted connections by the file descriptors that are available.
 
 A request needs one descriptor for its client and one for its backend. Connections that have not sent a request yet and
-those that were answered but are not closed yet share a fraction of all connections. When that fraction is used up, the
-connections answered longest ago are closed first, then those without a request, oldest first.
+those that were answered but are not closed yet share a fraction of all connections. When that fraction is used up, room
+is made in this order, the oldest first in each group:
+
+1. answered connections whose client sends nothing;
+2. answered connections whose client still sends: they are reset, once the client's system has the answer;
+3. connections without a request whose client has sent nothing.
 """
 
 from __future__ import annotations
@@ -19,7 +23,7 @@
 MAX_IDLE_FRACTION = 0.2  # of all connections: those without a request and those already answered
 MIN_IDLE_CONNECTIONS = 8
 MAX_CANDIDATES = 16  # oldest connections checked for one whose socket has no unread data
-MIN_AGE_S = 0.03  # time to send the first line, which usually follows the connection at once; none is closed sooner
+MIN_AGE_S = 0.03  # to send the first line, which usually follows the connection at once, or to read the answer
 FALLBACK_USED_DESCRIPTORS = 32  # if the system has no /proc/self/fd
 MIN_LOGGED_PAUSE_S = 0.1  # without room; a shorter pause is only counted
 MS_PER_S = 1000.0
@@ -49,6 +53,7 @@
         clock: returns seconds.
         end_if_silent: returns whether the kernel holds no unread data of a connection, and may end sending on it if so;
             unread data could be its first line.
+        has_answer: returns whether an answered client's system has received all that was sent to it.
         log_warning: receives a text for each long time without room.
 
     Attributes:
@@ -64,10 +69,12 @@
         max_descriptors: int,
         clock: Callable[[], float],
         end_if_silent: Callable[[LineConnection], bool] = lambda side: True,
+        has_answer: Callable[[LineConnection], bool] = lambda side: False,
         log_warning: Callable[[str], None] = lambda text: None,
     ) -> None:
         self.max_connections = max_descriptors - RESERVED_DESCRIPTORS
-        self.clock, self.end_if_silent, self.log_warning = clock, end_if_silent, log_warning
+        self.clock, self.end_if_silent, self.has_answer = clock, end_if_silent, has_answer
+        self.log_warning = log_warning
         self.counts: Counter[str] = Counter()
         self.full_since: float | None = None
         self.max_idle = max(MIN_IDLE_CONNECTIONS, int(self.max_connections * MAX_IDLE_FRACTION))
@@ -109,7 +116,7 @@
     def make_room(self) -> bool:
         """Return whether one more connection may be accepted; close idle ones first if that is needed and possible."""
         while self._is_full():
-            if not self._close_oldest():
+            if not self._close_one():
                 self._on_no_room()
                 return False
         self._on_room()
@@ -147,15 +154,22 @@
             or without_request + len(self.answered) >= self.max_idle
         )
 
-    def _close_oldest(self) -> bool:
+    def _close_one(self) -> bool:
+        """Close the connection whose end does the least harm; return False if none may be closed now."""
+        return (
+            self._close_oldest(self.answered, self.end_if_silent)
+            or self._close_oldest(self.answered, self.has_answer)
+            or self._close_oldest(self.without_request, self.end_if_silent)
+        )
+
+    def _close_oldest(self, sides: dict[LineConnection, float], may_close: Callable[[LineConnection], bool]) -> bool:
         latest_start = self.clock() - MIN_AGE_S
-        for sides in (self.answered, self.without_request):
-            for side, since in islice(sides.items(), MAX_CANDIDATES):
-                if since > latest_start:
-                    break
-                if self.end_if_silent(side):
-                    self.counts["closed_to_make_room"] += 1
-                    self.on_closed(side)
-                    side.abort()
-                    return True
+        for side, since in islice(sides.items(), MAX_CANDIDATES):
+            if since > latest_start:
+                break
+            if may_close(side):
+                self.counts["closed_to_make_room"] += 1
+                self.on_closed(side)
+                side.abort()
+                return True
         return False
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -45,6 +45,7 @@
 from yarrowspindle.transport.line_connection import LineConnection
 from yarrowspindle.transport.listener import Listener
 from yarrowspindle.transport.listening_sockets import other_process_listens
+from yarrowspindle.transport.read_turns import ReadTurns
 from yarrowspindle.transport.tcp_info import last_data_age_ms
 
 if TYPE_CHECKING:
@@ -79,7 +80,10 @@
         self.service, self.config, self.runtime = service, service.config, service.runtime
         self.loop = asyncio.get_running_loop()
         self.log = RateLimitedLog(self.loop.time)
-        self.limiter = ConnectionLimiter(descriptors, self.loop.time, self._end_if_silent, self.log_warning)
+        self.read_turns = ReadTurns()
+        self.limiter = ConnectionLimiter(
+            descriptors, self.loop.time, self._end_if_silent, self._has_answer, self.log_warning
+        )
         self.idle_close_reason = IdleCloseReason.NO_FIRST_LINE
         self.network = LocalNetworkMonitor()
         self.clients: dict[int, ClientConnection] = {}
@@ -189,7 +193,10 @@
         return self.service.ready()
 
     def _client_connection(self) -> ClientConnection:
-        return ClientConnection(self, self.listener.may_have_waited)
+        """Return the protocol of a connection that has just been accepted, which counts from now on."""
+        side = ClientConnection(self, self.listener.may_have_waited, self.read_turns)
+        self.limiter.on_accepted(side)
+        return side
 
     def _read_delay_ms(self, side: ClientConnection) -> float:
         """Return how long the client's line was unread in the kernel; 0, without asking it, if the loop is on time."""
@@ -197,10 +204,6 @@
             return last_data_age_ms(side.open_transport)
         return 0.0
 
-    def client_connected(self, side: ClientConnection) -> None:
-        """Count the connection."""
-        self.limiter.on_accepted(side)
-
     def request_received(self, side: ClientConnection, first_line: OpenRequest) -> None:
         """Post the request, or reject an invalid first line."""
         try:
@@ -275,9 +278,15 @@
         log_idle_close(side, self.idle_close_reason, self.limiter.idle_s(side))
         self.limiter.on_answered(side)
 
+    @staticmethod
+    def _has_answer(side: LineConnection) -> bool:
+        """Return whether the client's system has received all that was sent, up to the end of our sending."""
+        return side.closing and side.unsent_bytes() == 0
+
     def _end_if_silent(self, side: LineConnection) -> bool:
         """End sending unless the kernel holds unread data of the client; return whether it holds none."""
-        if not half_close_unless_readable(side.open_transport):
+        awaits_move = side in self.limiter.answered and not side.closing
+        if side.transport is None or awaits_move or not half_close_unless_readable(side.open_transport):
             return False
         log_idle_close(side, IdleCloseReason.SHORT_OF_DESCRIPTORS, self.limiter.idle_s(side))
         return True
@@ -336,7 +345,7 @@
     # --- effects on backends ----------------------------------------------------------------------
 
     def _open_backend_connection(self, effect: OpenBackendConnection) -> None:
-        side = BackendConnection(self, effect.request, effect.attempt, effect.backend)
+        side = BackendConnection(self, effect.request, effect.attempt, effect.backend, self.read_turns)
         self.backends[effect.request] = side
         self.limiter.on_backend_connecting(side)
         connecting = Connector(side, effect.address, lambda failure: self._on_connect_failed(side, failure))
@@ -406,6 +415,7 @@
             backend.migrate(client)
         else:
             client.finish(lines.MOVE)
+        self.limiter.on_answered(client)
 
     def _close_client_connection(self, effect: CloseClientConnection) -> None:
         client = self.clients.get(effect.request)
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -10,6 +10,7 @@
 from yarrowspindle.routing.termination import TerminationReason
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 from yarrowspindle.transport.line_connection import LineConnection
+from yarrowspindle.transport.read_turns import ReadTurns
 
 MIGRATION_LINE_TIMEOUT_S = 0.5  # to receive the rest of a line that would be lost otherwise
 
@@ -54,6 +55,7 @@
         request: The number of the request.
         attempt: The number of the attempt.
         backend: The backend's name.
+        read_turns: See `LineConnection`.
 
     Attributes:
         up_line: The UP line, as received.
@@ -66,8 +68,10 @@
         migration_timer: Limits how long a migration waits for the rest of a line.
     """
 
-    def __init__(self, sink: BackendSink, request: int, attempt: int, backend: str = "") -> None:
-        super().__init__()
+    def __init__(
+        self, sink: BackendSink, request: int, attempt: int, backend: str = "", read_turns: ReadTurns | None = None
+    ) -> None:
+        super().__init__(read_turns)
         self.sink, self.request, self.attempt, self.backend = sink, request, attempt, backend
         self.up_line = b""
         self.early_data = b""
@@ -92,7 +96,7 @@
     def data_received(self, data: bytes) -> None:
         """Forward data to the client once the request is accepted; before, read the backend's answer."""
         if self.closing:
-            self.discarded_bytes += len(data)
+            self.discard(data)
         elif self.accepted:
             self._forward(data)
         else:
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -9,6 +9,7 @@
 from yarrowspindle.protocol.lines import LineError, LineTooLongError, OpeningReader, OpenRequest
 from yarrowspindle.transport.inactivity_timer import InactivityTimer, half_close_unless_readable
 from yarrowspindle.transport.line_connection import LineConnection
+from yarrowspindle.transport.read_turns import ReadTurns
 
 FIRST_LINE_TIMEOUT_S = 2.0  # for a complete OPEN line; probes do not extend it
 
@@ -19,9 +20,6 @@
     def ready(self) -> bool:
         """Return whether the relay accepts new requests."""
 
-    def client_connected(self, side: ClientConnection) -> None:
-        """Handle an accepted connection."""
-
     def request_received(self, side: ClientConnection, opened: OpenRequest) -> None:
         """Handle a complete OPEN line."""
 
@@ -53,6 +51,7 @@
     Args:
         sink: Receives the reports.
         may_have_waited: Whether the connection may have waited in the kernel's accept queue.
+        read_turns: See `LineConnection`.
 
     Attributes:
         request: The number of the request, set by the sink; 0 before the OPEN line.
@@ -61,8 +60,8 @@
         first_line_timer: Limits the time until the first line is complete.
     """
 
-    def __init__(self, sink: ClientSink, may_have_waited: bool = False) -> None:
-        super().__init__()
+    def __init__(self, sink: ClientSink, may_have_waited: bool = False, read_turns: ReadTurns | None = None) -> None:
+        super().__init__(read_turns)
         self.may_have_waited = may_have_waited
         self.sink = sink
         self.request = 0
@@ -74,12 +73,11 @@
         """Start the time-out of the first line."""
         super().connection_made(transport)
         self.first_line_timer = InactivityTimer(FIRST_LINE_TIMEOUT_S, self._on_first_line_timeout)
-        self.sink.client_connected(self)
 
     def data_received(self, data: bytes) -> None:
         """Forward data to the backend while relaying; before, read the first line."""
         if self.closing:
-            self.discarded_bytes += len(data)
+            self.discard(data)
         elif self.other is not None:
             self._forward(data)
         elif self.request:  # the client has to wait for the answer; its data is neither buffered nor forwarded
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -12,6 +12,7 @@
 
 from yarrowspindle.protocol.lines import LineSplitter, LineTooLongError, join_lines
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
+from yarrowspindle.transport.read_turns import ReadTurns
 
 LINGER_INTERVAL_S = 0.5  # after closing our sending direction, for a peer that sends nothing to close as well
 MAX_DISCARD_S = 5.0  # for a peer that still sends: it may read our last line only after sending everything
@@ -24,6 +25,9 @@
 class LineConnection(asyncio.Protocol):
     """One side of a relayed connection. Times are in seconds of the event loop's clock.
 
+    Args:
+        read_turns: The turns in which data is read after our sending direction was closed; None: at any time.
+
     Attributes:
         transport: The transport; None before the connection is made and after it is lost.
         other: The other side, while both sides relay.
@@ -36,7 +40,8 @@
         last_unsent: The number of unsent bytes at the last check.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_turns: ReadTurns | None = None) -> None:
+        self.read_turns = read_turns
         self.transport: asyncio.Transport | None = None
         self.other: LineConnection | None = None
         self.lines = LineSplitter()
@@ -92,6 +97,12 @@
         if lines and self.other is not None:
             self.other.write(join_lines(lines))
 
+    def discard(self, data: bytes) -> None:
+        """Count data that was received after our sending direction was closed, and wait for the next turn to read."""
+        self.discarded_bytes += len(data)
+        if self.read_turns is not None:
+            self.read_turns.wait(self.open_transport)
+
     def pause_writing(self) -> None:
         """Stop reading from the other side, as the peer of this side does not keep up."""
         if self.other is not None and (transport := self.other.open_transport):
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -52,7 +52,7 @@
     Args:
         address: The host and port to listen on.
         backlog: The size of the kernel's accept queue.
-        protocol_factory: Creates the protocol of each connection.
+        protocol_factory: Creates the protocol of each connection as it is accepted.
         make_room: Returns whether one more connection may be accepted; may close others for it.
         log_warning: Receives a text for each failed call of accept.
 
@@ -123,17 +123,19 @@
                     return QueueState.NO_ROOM
                 continue
             sock.setblocking(False)
-            task = self.loop.create_task(self._hand_over(sock, self.backlogged))
+            # Created here, so that the next call of `make_room` already counts the connection.
+            self.may_have_waited = self.backlogged
+            task = self.loop.create_task(self._hand_over(sock, self.protocol_factory()))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         return QueueState.MORE
 
-    async def _hand_over(self, sock: socket.socket, may_have_waited: bool) -> None:
+    async def _hand_over(self, sock: socket.socket, protocol: asyncio.Protocol) -> None:
         try:
-            self.may_have_waited = may_have_waited
-            await self.loop.connect_accepted_socket(self.protocol_factory, sock)  # calls protocol_factory at once
+            await self.loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError as error:
             sock.close()
+            protocol.connection_lost(error)
             self.log_warning(f"an accepted connection was lost before it could be served: {error}")
 
     async def close(self, deadline: float) -> None:
