--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -13,6 +13,7 @@
 import resource
 import signal
 import sys
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -39,6 +40,7 @@
         "fall_ms": 1500.0,
     },
 }
+WRITERS: weakref.WeakKeyDictionary[asyncio.StreamWriter, asyncio.AbstractEventLoop] = weakref.WeakKeyDictionary()
 
 
 class LinePeer:
@@ -52,6 +54,17 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, first: bytes = b"") -> None:
         self.reader, self.writer, self.first_line = reader, writer, first
+        WRITERS[writer] = asyncio.get_running_loop()
+
+    @staticmethod
+    def close_all() -> None:
+        """Close the connections that a test has left open, while their event loop still runs.
+
+        Collected later, each would fail in its destructor, at any point of the code that runs then.
+        """
+        for writer, loop in list(WRITERS.items()):
+            if loop is asyncio.get_running_loop():
+                writer.close()
 
     def send_lines(self, *lines: str) -> None:
         self.writer.write("".join(f"{line}\r\n" for line in lines).encode())
@@ -290,6 +303,7 @@
             env.process.kill()
             await env.process.wait()
         await log_task
+        LinePeer.close_all()
         print("".join(log_lines))  # pytest shows it if the test fails
         assert "Traceback" not in "".join(log_lines), "".join(log_lines)
         assert not [line for line in log_lines if " invariant " in line], "".join(log_lines)
