Accept callers of the operators' API at a limited rate and discard their data in turns

Cause: the API's server accepted all that waited in one turn of the event loop, each with a parser and a timer, and ended the oldest connection for each at once; what came after a response was discarded at full speed.

Change: the listener of the clients' address (16 accepts a turn); a connection is replaced once it is 50 ms old; data after the response is read in turns. The queue holds 1,024, since an overflow costs a caller a second (SYN again).

--- a/tests/daemon/test_flooding_clients.py
+++ b/tests/daemon/test_flooding_clients.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import statistics
+import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
+import pytest
+
 from tests.daemon.load import LATE_S, WAIT_MS, echoing, usual_requests
 from tests.flooding_clients import Load, flooding
-from tests.stand_ins import RelayEnvironment, run
+from tests.ports import free_port
+from tests.stand_ins import SETTINGS, RelayEnvironment, run
 
 MAX_WAIT_S = WAIT_MS / 1000.0 + LATE_S
 FLOOD_S = 6.0
+API_FLOOD_S = 3.0
 FLOODING_PROCESSES = 3  # one alone does not send to all of its clients at full speed
 
 
@@ -26,3 +33,56 @@
         assert load.longest_wait_s() <= MAX_WAIT_S
 
     run(tmp_path, body, sockets=160)
+
+
+API_FLOODS = {
+    "header fields without end": Load(first="GET /api/ready HTTP/1.1\r\n", piece="a: b\r\n"),
+    "a body without end": Load(first="PUT /api/rejoin HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", piece="x"),
+    "no HTTP": Load(piece="x"),
+    "calls in a pipeline": Load(piece="GET /api/telemetry HTTP/1.1\r\n\r\n"),
+}
+MAX_MEDIAN_S = SETTINGS["categories"][0]["slo_ms"] / 1000.0 / 10.0  # the relay's part of the setup latency objective
+
+
+@pytest.mark.parametrize("name", API_FLOODS)
+def test_requests_and_calls_are_answered_in_time_while_callers_of_the_api_send_at_full_speed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    """Guard against an event loop that accepts callers and discards their data without a limit."""
+    api_port = free_port()
+    monkeypatch.setenv("ROUTER_OPERATOR", f"127.0.0.1:{api_port}")
+
+    async def call_api(waits: list[float]) -> None:
+        while True:
+            began = time.monotonic()
+            async with asyncio.timeout(MAX_WAIT_S):
+                status = await api_status(api_port)
+            waits.append(time.monotonic() - began)
+            assert status == b"HTTP/1.1 200 OK\r\n"
+            await asyncio.sleep(0.2)
+
+    async def body(env: RelayEnvironment) -> None:
+        waits: list[float] = []
+        await env.next_log_line("the operators' API listens")
+        async with echoing(env) as load, AsyncExitStack() as floods:
+            for _ in range(FLOODING_PROCESSES):
+                await floods.enter_async_context(flooding(api_port, 70, API_FLOODS[name], 2.0 * FLOOD_S))
+            calls = asyncio.ensure_future(call_api(waits))
+            await usual_requests(env, load, API_FLOOD_S)
+            assert not calls.done() or calls.result() is None
+            calls.cancel()
+        assert load.words().keys() <= {"UP", "BUSY"}, load.words()
+        assert load.longest_wait_s() <= MAX_WAIT_S
+        assert statistics.median(answer.wait_s for answer in load.answers) <= MAX_MEDIAN_S
+        assert waits and max(waits) <= MAX_WAIT_S
+
+    run(tmp_path, body, sockets=256)
+
+
+async def api_status(port: int) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: relay\r\n\r\n")
+        return await reader.readline()
+    finally:
+        writer.close()
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import errno
 import itertools
 import selectors
 import socket
@@ -21,7 +22,6 @@
 ROOT = Path(__file__).resolve().parents[1]
 PIECE_BYTES = 1 << 18
 READ_BYTES = 1 << 16
-CONNECT_TIMEOUT_S = 5.0
 CLIENT_KEY = "7f3a9c21e0b4d655"
 FIRST_ID = 0x5EED << 48
 
@@ -57,11 +57,14 @@
         self.next_byte_at = 0.0
 
     def connect(self, selector: selectors.BaseSelector) -> None:
-        """Open a connection; where that fails, the next call tries again."""
+        """Begin to open a connection; where that fails, the next call tries again."""
         self.sock = None
         with suppress(OSError):
-            sock = socket.create_connection(self.address, CONNECT_TIMEOUT_S)
+            sock = socket.socket()
             sock.setblocking(False)
+            if sock.connect_ex(self.address) not in (0, errno.EINPROGRESS):
+                sock.close()
+                return
             first = self.load.first.replace("{id}", f"{next(self.ids):016x}").encode()
             self.unsent, self.first_left = memoryview(first), len(first)
             self.sock = sock
--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -121,6 +121,7 @@
         Raises:
             OSError: the address cannot be bound.
         """
+        # During an upgrade a second process of the same relay listens on the same address while this one still serves.
         self.listener = Listener(
             self.config.listen, BACKLOG, self._client_connection, self.limiter.make_room, self.log_warning
         )
--- a/yarrowspindle/operator_api/http.py
+++ b/yarrowspindle/operator_api/http.py
@@ -2,7 +2,8 @@
 
 Each call is passed to the function for its path and method, whose result is the response. A call that is malformed or
 too large gets a 4xx response; a slow one is closed, so that no caller occupies one of MAX_CALLS connections for longer
-than CALL_TIMEOUT_S.
+than CALL_TIMEOUT_S. Connections are accepted at a limited rate, and what callers send after their response is discarded
+in turns, so that callers at full speed leave the event loop to the relay's clients.
 """
 
 from __future__ import annotations
@@ -16,15 +17,18 @@
 import httptools
 
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
+from yarrowspindle.transport.listener import Listener
+from yarrowspindle.transport.read_turns import ReadTurns
 
 MAX_CALLS = 32  # concurrent connections; a further one replaces the oldest
+MIN_AGE_S = 0.05  # of a connection that is replaced; new ones wait in the accept queue until then
 CALL_TIMEOUT_S = 2.0  # time within which the whole request must arrive
 LINGER_S = CALL_TIMEOUT_S / 4.0  # time for the caller to close the connection after the response
 MAX_HEADER_BYTES = 8192  # the request line and the headers
 MAX_URL_BYTES = 1024
 MAX_BODY_BYTES = 4096
 HEADER_SEPARATOR_BYTES = 4  # colon, space, CR and LF
-LISTEN_BACKLOG = 64
+LISTEN_BACKLOG = 1024
 
 # RFC 9110, section 15. Defined here because the phrases of `http.HTTPStatus` differ between versions of Python.
 REASON_PHRASES = {
@@ -85,11 +89,11 @@
         """Start the timeout of the call."""
         self.transport = cast(asyncio.Transport, transport)
         self.timeout = InactivityTimer(CALL_TIMEOUT_S, self.abort)
-        self.api.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and reject a call that is malformed or too large."""
         if self.done:
+            self.api.read_turns.wait(self.transport)
             return
         try:
             if not self.headers_complete:
@@ -226,27 +230,38 @@
         self.log_failure = log_failure
         self.body_routes = body_routes or {}
         self.max_body_bytes = max_body_bytes
-        self.calls: dict[Call, None] = {}  # oldest first
-        self.server: asyncio.Server | None = None
+        self.calls: dict[Call, float] = {}  # event loop time of each call's accept, oldest first
+        self.listener: Listener | None = None
+        self.loop = asyncio.get_running_loop()
+        self.read_turns = ReadTurns()
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen. Raise OSError if the address is not available."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Call(self), host, port, backlog=LISTEN_BACKLOG)
+        self.listener = Listener(
+            (host, port), LISTEN_BACKLOG, self._accept, self._make_room, self.log_failure, reuse_port=False
+        )
 
     @property
     def port(self) -> int:
         """The port on which the started API listens."""
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
-
-    def add(self, call: Call) -> None:
-        """Add a new connection, and abort the oldest ones above MAX_CALLS."""
-        self.calls[call] = None
-        while len(self.calls) > MAX_CALLS:
-            oldest = next(iter(self.calls))
-            del self.calls[oldest]
-            oldest.abort()
+        assert self.listener is not None
+        return int(self.listener.sock.getsockname()[1])
+
+    def _accept(self) -> Call:
+        call = Call(self)
+        self.calls[call] = self.loop.time()
+        return call
+
+    def _make_room(self) -> bool:
+        """Return whether one more connection may be accepted; abort the oldest one if that is needed and allowed."""
+        if len(self.calls) < MAX_CALLS:
+            return True
+        oldest, accepted_at = next(iter(self.calls.items()))
+        if oldest.transport is None or self.loop.time() < accepted_at + MIN_AGE_S:
+            return False
+        del self.calls[oldest]
+        oldest.abort()
+        return True
 
     def remove(self, call: Call) -> None:
         """Remove a closed connection."""
@@ -254,7 +269,7 @@
 
     def close(self) -> None:
         """Stop listening and close all connections."""
-        if self.server is not None:
-            self.server.close()
+        if self.listener is not None:
+            self.listener.stop()
         for call in list(self.calls):
             call.abort()
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -55,6 +55,7 @@
         protocol_factory: Creates the protocol of each connection as it is accepted.
         make_room: Returns whether one more connection may be accepted; may close others for it.
         log_warning: Receives a text for each failed call of accept.
+        reuse_port: Whether other processes may listen at the same address.
 
     Attributes:
         backlogged: Whether the last batch left connections in the queue, so that the next ones may have waited.
@@ -73,12 +74,14 @@
         protocol_factory: Callable[[], asyncio.Protocol],
         make_room: Callable[[], bool],
         log_warning: Callable[[str], None],
+        reuse_port: bool = True,
     ) -> None:
         self.protocol_factory, self.make_room, self.log_warning = protocol_factory, make_room, log_warning
         self.backlog = backlog
         self.loop = asyncio.get_running_loop()
-        # During an upgrade a second process of the same relay listens on the same address while this one still serves.
-        self.sock = socket.create_server(address, backlog=backlog, reuse_port=hasattr(socket, "SO_REUSEPORT"))
+        self.sock = socket.create_server(
+            address, backlog=backlog, reuse_port=reuse_port and hasattr(socket, "SO_REUSEPORT")
+        )
         self.sock.setblocking(False)
         self.pause: asyncio.TimerHandle | None = None
         self.backlogged = False
@@ -138,6 +141,18 @@
             protocol.connection_lost(error)
             self.log_warning(f"an accepted connection was lost before it could be served: {error}")
 
+    def _stop_accepting(self) -> None:
+        self.closed = True
+        if self.pause is not None:
+            self.pause.cancel()
+        self.loop.remove_reader(self.sock)
+
+    def stop(self) -> None:
+        """Close the socket at once; the connections in the queue are reset. No effect if closed."""
+        if not self.closed:
+            self._stop_accepting()
+            self.sock.close()
+
     async def close(self, deadline: float) -> None:
         """Accept the connections in the queue, which closing would reset, then close the socket. No effect if closed.
 
@@ -148,10 +163,7 @@
         """
         if self.closed:
             return
-        self.closed = True
-        if self.pause is not None:
-            self.pause.cancel()
-        self.loop.remove_reader(self.sock)
+        self._stop_accepting()
         left = {QueueState.MORE: ceil(self.backlog / ACCEPT_BATCH), QueueState.NO_ROOM: MAX_PAUSES_AFTER_DEADLINE}
         while (queue := self._accept(ACCEPT_BATCH)) is not QueueState.EMPTY:
             if self.loop.time() >= deadline:
