Let two processes of a relay share its QUIC address and pass datagrams on

Cause: the QUIC front bound its address without SO_REUSEPORT and without a retry, after the clients' address. Likewise, where both have the same operators' address, the second process serves nobody (PING: NO) and ends after 9 s.

Change: the address is shared, and bound before the clients'; where it, or the operators' address, is not available yet, the process serves and retries in the background. A shared address deals a connection's datagrams to either process, so each one asks the other (a Unix socket, the same user only) before it takes a datagram of an unknown id; the one that has or had the connection handles it, and a process that ends leaves new connections to the other one.

--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -5,10 +5,10 @@
 import asyncio
 import errno
 import gc
+import math
 import signal
 import time
 from collections.abc import Awaitable, Callable, Coroutine
-from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
 import uvloop
@@ -54,17 +54,18 @@
 GC_THRESHOLDS = (20_000, 50, 100)
 
 
-async def start_with_retries(resource: str, start: Callable[[], Awaitable[T]]) -> T:
+async def start_with_retries(resource: str, start: Callable[[], Awaitable[T]], max_s: float = MAX_START_S) -> T:
     """Start a part that needs a socket, and retry while the error is transient.
 
     Args:
         resource: the name of the socket or address for the log.
         start: opens the socket; called until it returns.
+        max_s: for how long to retry, in seconds.
 
     Raises:
-        OSError: the error is not in `TRANSIENT_ERRORS`, or it persists after MAX_START_S.
+        OSError: the error is not in `TRANSIENT_ERRORS`, or it persists after `max_s`.
     """
-    deadline = time.monotonic() + MAX_START_S
+    deadline = time.monotonic() + max_s
     last_error = ""
     while True:
         try:
@@ -91,7 +92,7 @@
         self.configuration: RelayEndpoint | None = None
         self.membership: MembershipEndpoint | None = None
         self.maintenance: MaintenanceEndpoint | None = None
-        self.reports: list[asyncio.Task[None]] = []
+        self.background: list[asyncio.Task[None]] = []  # reports, and parts whose address is not available yet
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down."""
@@ -99,6 +100,7 @@
         self.service.start()
         self._start_configuration()
         await self._wait_for_list()
+        await self.service.process_link.open()
         await self._start_fronts()
         await self._start_membership()
         self._start_reports()
@@ -142,13 +144,14 @@
         async def listen() -> LineFront:
             return LineFront(self.service, descriptors).start()
 
-        self.front = await start_with_retries("the clients' address", listen)
-        if self.config.operator is not None:
-            await self._start_operator_api(*self.config.operator)
+        # QUIC goes first: an error in its configuration ends the process, which must not have accepted clients by then.
         if self.operator.quic is not None:
             from yarrowspindle.fronts.quic_front import QuicFront
 
-            await QuicFront(self.service, self.operator.quic).start()
+            await self._start_or_retry("the QUIC address", QuicFront(self.service, self.operator.quic).start)
+        self.front = await start_with_retries("the clients' address", listen)
+        if self.config.operator is not None:
+            await self._start_operator_api(*self.config.operator)
 
     def _front_descriptors(self) -> int:
         """Return the number of file descriptors for the line front: those that the other parts do not need."""
@@ -163,14 +166,31 @@
             descriptors -= MAX_CALLS + 2  # plus the connection that replaces the oldest one, and the listening socket
         return descriptors
 
+    async def _start_or_retry(self, resource: str, start: Callable[[], Awaitable[None]]) -> None:
+        """Start a part, or retry in the background while its address is not available.
+
+        Another process of this relay may hold the address until this one serves and the other one is ended.
+        """
+        try:
+            await start()
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                raise
+            retrying = start_with_retries(resource, start, max_s=math.inf)
+            self.background.append(asyncio.get_running_loop().create_task(retrying))
+
     async def _start_operator_api(self, host: str, port: int) -> None:
         from yarrowspindle.daemon.operator_routes import routes
         from yarrowspindle.operator_api import OperatorApi
 
         api = OperatorApi(routes(self.service), lambda text: logger.error("operators' API: a call failed: {}", text))
-        await start_with_retries("the operators' address", partial(api.start, host, port))
         self.api = api
-        logger.info("the operators' API listens at {}:{}", host, port)
+
+        async def listen() -> None:
+            await api.start(host, port)
+            logger.info("the operators' API listens at {}:{}", host, port)
+
+        await self._start_or_retry("the operators' address", listen)
 
     async def _start_membership(self) -> None:
         if self.operator.peers is None:
@@ -189,7 +209,7 @@
     def _start_reports(self) -> None:
         if self.operator.metrics is not None:
             reporting = report_periodically(self.service.metrics, self.operator.metrics, self.config.name)
-            self.reports.append(asyncio.get_running_loop().create_task(reporting))
+            self.background.append(asyncio.get_running_loop().create_task(reporting))
 
     async def _hand_over_to_successor(self, deadline: float) -> None:
         """Leave new connections to another process of this relay while one listens, until the deadline.
@@ -233,7 +253,7 @@
         await asyncio.sleep(deadline - loop.time())
         if self.front is not None:
             await self.front.shut_down(deadline + CONNECTION_CLOSE_S)
-        for task in self.reports:
+        for task in self.background:
             task.cancel()
         for endpoint in (self.configuration, self.maintenance, self.membership):
             if endpoint is not None:
@@ -241,6 +261,7 @@
         service.health_checker.close()
         if self.api is not None:
             self.api.close()
+        service.process_link.close()
         logger.info("stopped: {} requests and connections are left", len(service.reducer.requests))
 
 
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -36,6 +36,7 @@
 from yarrowspindle.telemetry.guard import Guard
 from yarrowspindle.telemetry.log import RateLimitedLog
 from yarrowspindle.telemetry.trace import Trace
+from yarrowspindle.transport.process_link import ProcessLink
 
 TRACE_LEVELS = ("TRACE", "DEBUG")  # log levels at which each step of each request is logged
 # The relay closes idle connections before the backends do, so that a backend does not close one as a request is sent.
@@ -83,6 +84,7 @@
         # Called with the new operator's configuration after SIGHUP.
         self.reload_listeners: list[Callable[[OperatorConfig], None]] = []
         self.serving = False  # whether the fronts accept connections
+        self.process_link = ProcessLink(config.listen)
         self._attach_observers()
         self._set_up_endpoint_watch()
         self._set_up_health_checker()
--- a/yarrowspindle/fronts/quic_front.py
+++ b/yarrowspindle/fronts/quic_front.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from yarrowspindle.decisions.events import EndpointState
+from yarrowspindle.fronts.forwarded_datagram import ForwardedDatagram
 from yarrowspindle.fronts.quic_flow import NO_ATTEMPT, Flow, FlowTable
 from yarrowspindle.protocol import quic
 from yarrowspindle.protocol.quic import ConnectionKey, Header, PacketError
@@ -36,6 +37,7 @@
 from yarrowspindle.routing.termination import TerminationReason
 from yarrowspindle.transport.datagrams import BackendPath, UdpListener
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
+from yarrowspindle.transport.process_link import Kind
 
 if TYPE_CHECKING:
     from yarrowspindle.daemon.operator_config import QuicConfig
@@ -80,12 +82,13 @@
         }
 
     async def start(self) -> None:
-        """Start listening.
+        """Start listening, also beside another process of this relay.
 
         Raises:
             OSError: the address cannot be bound.
         """
-        await self.loop.create_datagram_endpoint(lambda: self.client_socket, local_addr=self.config.listen)
+        await self.client_socket.bind(self.config.listen, reuse_port=True)
+        self.service.process_link.handlers[Kind.DATAGRAM] = self._on_other_process_datagram
         self.service.fronts.append(self)
         self.service.metrics.counter_sources["quic"] = self.counts
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -108,6 +111,37 @@
         if header.kind is None:
             self._negotiate_version(header, data, client)
             return
+        if self._knows(header) or not self.service.process_link.connections:
+            self._handle(header, data, client)
+            return
+        question = ForwardedDatagram(client, self.service.reducer.draining, data).encode()
+        self.service.process_link.ask(
+            Kind.DATAGRAM, question, lambda handled: None if handled else self._handle(header, data, client)
+        )
+
+    def _knows(self, header: Header) -> bool:
+        """Return whether this process has, or had, the connection of this id."""
+        flow, link = self._find(header)
+        return flow is not None or header.destination in self.table.ended_ids or link in self.table.ended_ids
+
+    def _on_other_process_datagram(self, body: bytes) -> bool:
+        """Handle a datagram that the kernel dealt to another process of this relay; return False if it stays there.
+
+        It belongs here if this process has the connection, or if the other one ends and this one serves.
+        """
+        try:
+            forwarded = ForwardedDatagram.decode(body)
+            header = quic.parse_header(forwarded.data)
+        except (PacketError, ValueError):
+            return False
+        starts = header.kind is QuicPacketType.INITIAL and forwarded.sender_ends and self.service.ready()
+        if not self._knows(header) and not starts:
+            return False
+        self.counts["from_other_process"] += 1
+        self._handle(header, forwarded.data, forwarded.client)
+        return True
+
+    def _handle(self, header: Header, data: bytes, client: Address) -> None:
         flow, link = self._find(header)
         if flow is not None:
             self._forward(flow, header, data, client)
--- a/yarrowspindle/transport/datagrams.py
+++ b/yarrowspindle/transport/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -23,6 +24,20 @@
         self.on_datagram = on_datagram
         self.transport: asyncio.DatagramTransport | None = None
 
+    async def bind(self, listen: Address, reuse_port: bool = False) -> None:
+        """Bind the socket.
+
+        Args:
+            listen: The host and port to bind to.
+            reuse_port: Whether other processes may bind to the same address; the kernel deals the datagrams out then.
+
+        Raises:
+            OSError: The address is not available.
+        """
+        shared = True if reuse_port and hasattr(socket, "SO_REUSEPORT") else None
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=listen, reuse_port=shared)
+
     async def open(self, listen: Address, on_unavailable: Callable[[Exception], None]) -> None:
         """Bind the socket; retry while the address is in use, as the previous process may not have released it yet.
 
@@ -33,7 +48,7 @@
         reported = False
         while True:
             try:
-                await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=listen)
+                await self.bind(listen)
                 return
             except Exception as error:  # retried on any error: the caller waits for the socket
                 if not reported:
