Forward lines as blocks, one large read of a connection in each turn

Cause: each line was split off, measured, joined and, on its way back, parsed by itself, some 30 ms for a read of 256 kB; and a connection was read up to 32 times in one turn of the event loop: turns of 250 to 370 ms.

Change: complete lines are forwarded as they came, in one block; the greatest length is checked in steps of 4 KiB, lines are counted, and of LOAD lines the newest 16 are reported. After a read of 64 kB or more the connection is read again in the next turn. A line of the greatest length is no longer refused where a piece ends within its CRLF.

The three cases of test_requests_are_served_at_once_while_an_established_client_sends_at_full_speed failed on the untouched program.

--- a/tests/daemon/test_flooding_clients.py
+++ b/tests/daemon/test_flooding_clients.py
@@ -10,14 +10,16 @@
 
 import pytest
 
+from tests.daemon import load as usual
 from tests.daemon.load import LATE_S, WAIT_MS, echoing, usual_requests
+from tests.echoing_backend import echoing_processes
 from tests.flooding_clients import Load, flooding
 from tests.ports import free_port
 from tests.stand_ins import SETTINGS, RelayEnvironment, run
 
 MAX_WAIT_S = WAIT_MS / 1000.0 + LATE_S
 FLOOD_S = 6.0
-API_FLOOD_S = 3.0
+API_FLOOD_S, ESTABLISHED_FLOOD_S = 3.0, 2.0
 FLOODING_PROCESSES = 3  # one alone does not send to all of its clients at full speed
 
 
@@ -86,3 +88,27 @@
         return await reader.readline()
     finally:
         writer.close()
+
+
+OPEN = "OPEN {id} 7f3a9c21e0b4d655 c=chat,t=acme,d=1500,g=5c0f\r\n"
+ESTABLISHED_FLOODS = {
+    "lines of one byte": (1, Load(first=OPEN, piece="a\r\n", waits=True)),
+    "lines of sixty bytes": (1, Load(first=OPEN, piece="a" * 60 + "\r\n", waits=True)),
+    "lines that look like loads": (1, Load(first=OPEN, piece="LOAD 7\r\n", waits=True)),
+}
+
+
+@pytest.mark.parametrize("name", ESTABLISHED_FLOODS)
+def test_requests_are_served_at_once_while_an_established_client_sends_at_full_speed(tmp_path: Path, name: str) -> None:
+    """Guard against lines that cost more the shorter they are, and against a backend blamed for its client's haste."""
+    clients, flood = ESTABLISHED_FLOODS[name]
+
+    async def body(env: RelayEnvironment) -> None:
+        load = usual.Load()
+        async with echoing_processes(env), flooding(env.port, clients, flood, 2.0 * FLOOD_S):
+            await usual_requests(env, load, ESTABLISHED_FLOOD_S)
+        assert load.words().keys() == {"UP"}, load.words()
+        assert load.longest_wait_s() <= MAX_WAIT_S
+        assert statistics.median(answer.wait_s for answer in load.answers) <= MAX_MEDIAN_S
+
+    run(tmp_path, body)
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -35,12 +35,14 @@
         piece: repeated up to PIECE_BYTES, sent again and again; empty: nothing more is sent.
         interval_s: between two bytes of `first`; 0: all at once.
         reads: whether the client reads what it is sent.
+        waits: whether `piece` is sent only once something was received.
     """
 
     first: str = ""
     piece: str = ""
     interval_s: float = 0.0
     reads: bool = True
+    waits: bool = False
 
 
 class Client:
@@ -55,6 +57,7 @@
         self.unsent = memoryview(b"")
         self.first_left = 0
         self.next_byte_at = 0.0
+        self.answered = False
 
     def connect(self, selector: selectors.BaseSelector) -> None:
         """Begin to open a connection; where that fails, the next call tries again."""
@@ -67,7 +70,7 @@
                 return
             first = self.load.first.replace("{id}", f"{next(self.ids):016x}").encode()
             self.unsent, self.first_left = memoryview(first), len(first)
-            self.sock = sock
+            self.sock, self.answered = sock, False
             self.connections += 1
             selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, self)
 
@@ -76,8 +79,9 @@
         assert self.sock is not None
         try:
             ended = False
-            if events & selectors.EVENT_READ and self.load.reads:
+            if events & selectors.EVENT_READ and (self.load.reads or not self.answered):
                 ended = not self.sock.recv(READ_BYTES)
+                self.answered = True
             if events & selectors.EVENT_WRITE:
                 self._send()
             if ended and not self.piece:
@@ -92,11 +96,14 @@
 
     def _set_interest(self, selector: selectors.BaseSelector, ended: bool) -> None:
         assert self.sock is not None
-        reads = selectors.EVENT_READ if self.load.reads and not ended else 0
-        writes = selectors.EVENT_WRITE if self.unsent or self.piece else 0
+        reads = selectors.EVENT_READ if (self.load.reads or not self.answered) and not ended else 0
+        writes = selectors.EVENT_WRITE if self.unsent or self._may_send_piece() else 0
         if reads | writes and selector.get_key(self.sock).events != reads | writes:
             selector.modify(self.sock, reads | writes, self)
 
+    def _may_send_piece(self) -> bool:
+        return bool(self.piece) and (self.answered or not self.load.waits)
+
     def _send(self) -> None:
         assert self.sock is not None
         if self.first_left and self.load.interval_s:
@@ -107,7 +114,7 @@
         else:
             sent = self.sock.send(self.unsent) if self.unsent else 0
         self.unsent, self.first_left = self.unsent[sent:], max(0, self.first_left - sent)
-        if not self.unsent and self.piece:
+        if not self.unsent and self._may_send_piece():
             self.unsent = memoryview(self.piece)
 
 
@@ -136,6 +143,7 @@
     """Run such clients against a port of this machine while the block runs, for `seconds` at most."""
     arguments = [f"--clients={clients}", f"--seconds={seconds}", f"--first={load.first}", f"--piece={load.piece}"]
     arguments += [f"--interval={load.interval_s}", f"--first-id={first_id}", *([] if load.reads else ["--deaf"])]
+    arguments += ["--waits"] if load.waits else []
     command = (sys.executable, "-m", "tests.flooding_clients", f"127.0.0.1:{port}", *arguments)
     process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
     try:
@@ -156,10 +164,11 @@
     parser.add_argument("--piece", default="")
     parser.add_argument("--interval", type=float, default=0.0)
     parser.add_argument("--deaf", action="store_true")
+    parser.add_argument("--waits", action="store_true")
     parser.add_argument("--first-id", type=int, default=FIRST_ID)
     arguments = parser.parse_args()
     host, port = arguments.address.split(":")
-    load = Load(arguments.first, arguments.piece, arguments.interval, not arguments.deaf)
+    load = Load(arguments.first, arguments.piece, arguments.interval, not arguments.deaf, arguments.waits)
     print(flood((host, int(port)), arguments.clients, arguments.seconds, load, arguments.first_id))
 
 
--- a/tests/protocol/test_protocol.py
+++ b/tests/protocol/test_protocol.py
@@ -217,3 +217,51 @@
     values = [body for p in packets for kind, body in parts(p) if kind == collectd.VALUES]
     assert values[7] == b"\0\1\2" + (7).to_bytes(8, "big") and values[-1] == b"\0\1\1" + struct.pack("<d", 2.5)
     assert len(values) == 101
+
+
+PARTS = st.sampled_from(
+    ["a", "", "LOAD 3", "LOAD", "LOAD x", "LOADS 1", "BYE", "LOAD 2.5", "x LOAD 9", "ERR", "b\r", "\r"]
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(PARTS, min_size=1, max_size=14))
+def test_the_summary_of_a_block_of_lines_is_that_of_its_lines(texts: list[str]) -> None:
+    """Guard against a summary that differs from what the lines say one by one, wherever LOAD lines stand."""
+    parts = [text.encode() for text in texts]
+    kinds = [parse_line_kind(part) for part in parts]
+    loads = [
+        load for part, kind in zip(parts, kinds, strict=True) if kind is LineKind.LOAD and (load := parse_load(part))
+    ]
+    others = [kind for kind in kinds if kind is not LineKind.LOAD]
+    summary = lines.summarize_backend_lines(b"".join(part + b"\r\n" for part in parts))
+    assert summary == lines.BackendLines(loads, len(others), others[-1] if others else None)
+
+
+def test_the_summary_of_very_many_lines_holds_the_newest_loads() -> None:
+    block = b"".join(b"LOAD %d\r\n" % number for number in range(1000))
+    summary = lines.summarize_backend_lines(b"x\r\n" + block)
+    assert summary.loads == [float(number) for number in range(1000 - lines.MAX_LOADS, 1000)] and summary.others == 1
+    assert lines.summarize_backend_lines(b"LOAD 4\r\n" + b"x\r\n" * 1000) == lines.BackendLines(
+        [4.0], 1000, LineKind.OTHER
+    )
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(st.sampled_from([0, 1, 5, 2000, lines.MAX_LINE_BYTES, lines.MAX_LINE_BYTES + 1]), max_size=6),
+    st.integers(1, 5000),
+)
+def test_a_line_is_too_long_wherever_the_pieces_end(lengths: list[int], size: int) -> None:
+    """Guard against a line of the greatest length that is refused where a piece ends within its CRLF."""
+    splitter, received, error = LineSplitter(), b"", False
+    data = b"".join(b"x" * length + b"\r\n" for length in lengths)
+    valid = next((number for number, length in enumerate(lengths) if length > lines.MAX_LINE_BYTES), len(lengths))
+    for offset in range(0, len(data), size):
+        try:
+            received += splitter.feed_block(data[offset : offset + size])
+        except lines.LineTooLongError as too_long:
+            received, error = received + too_long.lines_before, True
+            break
+    assert error == (valid < len(lengths))
+    assert received == b"".join(b"x" * length + b"\r\n" for length in lengths[:valid])
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -5,7 +5,6 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
-from itertools import takewhile
 
 MAX_LINE_BYTES = 4096
 CRLF = b"\r\n"
@@ -19,6 +18,8 @@
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 HEXADECIMAL = re.compile(r"[0-9a-f]{1,16}")
 MIN_RETRY_AFTER_MS = 0.5  # a smaller value would be sent as 0 and is omitted
+LOAD_AFTER_LINE = b"\r\nLOAD "
+MAX_LOADS = 16  # LOAD lines that are reported of those read at once; a newer one replaces an older one
 MAX_LOAD = 1e12  # in a LOAD line: microseconds of work per second, or milliseconds
 
 
@@ -30,10 +31,10 @@
     """A line that exceeds MAX_LINE_BYTES.
 
     Attributes:
-        lines_before: The lines before it that the same call of `LineSplitter.feed` completed.
+        lines_before: The lines before it, with their CRLFs, that the same call of `LineSplitter` completed.
     """
 
-    def __init__(self, lines_before: list[bytes]) -> None:
+    def __init__(self, lines_before: bytes) -> None:
         super().__init__(f"a line longer than {MAX_LINE_BYTES} bytes")
         self.lines_before = lines_before
 
@@ -210,13 +211,66 @@
     return tuple(values[name] for name in fields) if values.keys() >= set(fields) else ()
 
 
-def join_lines(lines: list[bytes]) -> bytes:
-    """Return the bytes of these lines, each with its CRLF."""
-    return CRLF.join([*lines, b""])
+@dataclass(slots=True, frozen=True)
+class BackendLines:
+    """What the relay has to know of the lines that a backend sent on an established connection.
+
+    Attributes:
+        loads: The numbers in the newest LOAD lines, MAX_LOADS at most, the oldest first.
+        others: The number of all other lines.
+        last_kind: The kind of the last one of these; None if there is none.
+    """
+
+    loads: list[float]
+    others: int
+    last_kind: LineKind | None
+
+
+def summarize_backend_lines(block: bytes) -> BackendLines:
+    """Return what the relay has to know of complete lines, each with its CRLF.
+
+    The cost hardly depends on the number of lines: short lines without end must not delay other connections.
+    """
+    load_lines = _count_load_lines(block) if b"LOAD" in block else 0
+    loads = _newest_loads(block) if load_lines else []
+    return BackendLines(loads, block.count(CRLF) - load_lines, _last_kind(block))
+
+
+def _count_load_lines(block: bytes) -> int:
+    after_others = block.count(LOAD_AFTER_LINE) + block.count(b"\nLOAD\r")
+    return after_others + block.startswith((b"LOAD ", b"LOAD\r"))
+
+
+def _newest_loads(block: bytes) -> list[float]:
+    loads: list[float] = []
+    before = len(block)
+    for _ in range(MAX_LOADS):
+        before = block.rfind(LOAD_AFTER_LINE, 0, before)
+        start = before + len(CRLF) if before >= 0 else 0
+        load = parse_load(block[start : block.index(CRLF, start)]) if block.startswith(b"LOAD ", start) else None
+        if load is not None:
+            loads.append(load)
+        if before < 0:
+            break
+    return loads[::-1]
+
+
+def _last_kind(block: bytes) -> LineKind | None:
+    """Return the kind of the last line that is no LOAD line; None if none is among the last MAX_LOADS + 1."""
+    end = len(block) - len(CRLF)
+    for _ in range(MAX_LOADS + 1):
+        if end < 0:
+            break
+        before = block.rfind(CRLF, 0, end)
+        kind = parse_line_kind(block[before + len(CRLF) if before >= 0 else 0 : end])
+        if kind is not LineKind.LOAD:
+            return kind
+        end = before
+    return None
 
 
 class LineSplitter:
-    """Splitter of a byte stream into lines without their CRLF; the incomplete last line is kept in `rest`."""
+    """Splitter of a byte stream into lines; the incomplete last line is kept in `rest`."""
 
     __slots__ = ("rest",)
 
@@ -224,15 +278,39 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the lines that these bytes complete. Raise LineTooLongError if a line exceeds MAX_LINE_BYTES."""
+        """Return the lines, without their CRLF, that these bytes complete. Raise LineTooLongError as `feed_block`."""
+        return self.feed_block(data).split(CRLF)[:-1]
+
+    def feed_block(self, data: bytes) -> bytes:
+        """Return the lines that these bytes complete, as one block, each with its CRLF.
+
+        Raises:
+            LineTooLongError: A line, its CRLF not counted, exceeds MAX_LINE_BYTES.
+        """
         if self.rest:
             data = self.rest + data
-        *lines, self.rest = data.split(CRLF)
-        if len(self.rest) > MAX_LINE_BYTES or any(len(line) > MAX_LINE_BYTES for line in lines):
-            raise LineTooLongError(list(takewhile(lambda line: len(line) <= MAX_LINE_BYTES, lines)))
-        return lines
+        end = data.rfind(CRLF) + len(CRLF) if CRLF in data else 0
+        block, self.rest = data[:end], data[end:]
+        long_at = _first_long_line(block)
+        if long_at is not None or len(self.rest.removesuffix(b"\r")) > MAX_LINE_BYTES:
+            raise LineTooLongError(block[:long_at])
+        return block
 
     @property
     def at_boundary(self) -> bool:
         """Whether the last byte of the stream ended a line."""
         return not self.rest
+
+
+def _first_long_line(block: bytes) -> int | None:
+    """Return where the first line begins that exceeds MAX_LINE_BYTES; None if there is none.
+
+    Each step goes to the last line that begins within MAX_LINE_BYTES, so that short lines cost no more than long ones.
+    """
+    start, longest = 0, MAX_LINE_BYTES + len(CRLF)
+    while len(block) - start > longest:
+        end = block.rfind(CRLF, start, start + longest)
+        if end < 0:
+            return start
+        start = end + len(CRLF)
+    return None
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from yarrowspindle.protocol import lines
-from yarrowspindle.protocol.lines import LineError, LineKind, LineTooLongError, join_lines, parse_line_kind, parse_load
+from yarrowspindle.protocol.lines import LineError, LineKind, LineTooLongError, parse_line_kind
 from yarrowspindle.routing.termination import TerminationReason
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 from yarrowspindle.transport.line_connection import LineConnection
@@ -140,7 +140,7 @@
             return
         try:
             if self.migrating_client is not None:
-                self._forward_last_line(self.lines.feed(data))
+                self._forward_last_line(self.lines.feed_block(data))
                 return
             complete = self.forward_lines(data)
         except LineTooLongError as error:
@@ -158,20 +158,16 @@
             self.other.finish(lines.MOVE)  # the backend may still answer, so the client is not cut off without a word
         self._end(TerminationReason.CONNECTION_RESET)
 
-    def _report(self, complete: list[bytes]) -> None:
+    def _report(self, complete: bytes) -> None:
         """Report loads, then the number of forwarded lines, unless a report ends the connection before."""
-        loads: list[float] = []
-        answers = 0
-        for line in complete:
-            kind = parse_line_kind(line)
-            if kind is LineKind.LOAD:
-                load = parse_load(line)
-                if load is not None:
-                    loads.append(load)
-            else:
-                self.final_reason = TERMINATION_REASONS.get(kind)
-                answers += self.final_reason is None
-        for load in loads:
+        if not complete:
+            return
+        received = lines.summarize_backend_lines(complete)
+        answers = received.others
+        if received.last_kind is not None:
+            self.final_reason = TERMINATION_REASONS.get(received.last_kind)
+            answers -= self.final_reason is not None
+        for load in received.loads:
             if not self.closing:
                 self.sink.backend_load_reported(self.request, load)
         if answers and not self.closing:
@@ -185,10 +181,10 @@
         else:
             self.migration_timer = InactivityTimer(MIGRATION_LINE_TIMEOUT_S, self._finish_migration)
 
-    def _forward_last_line(self, complete: list[bytes]) -> None:
+    def _forward_last_line(self, complete: bytes) -> None:
         """Forward the line for which a migration waits, once it is complete; drop what follows."""
         if complete and self.migrating_client is not None:
-            self.migrating_client.write(join_lines(complete[:1]))
+            self.migrating_client.write(complete[: complete.index(lines.CRLF) + len(lines.CRLF)])
             self._finish_migration()
 
     def finish_migration_now(self) -> None:
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -91,7 +91,7 @@
         except LineTooLongError as error:
             self._end_because_of_line(error)
             return
-        self.sink.client_data_forwarded(self.request, len(complete))
+        self.sink.client_data_forwarded(self.request, complete.count(lines.CRLF))
 
     def _end_because_of_line(self, error: LineError) -> None:
         """End an established connection because of an invalid line of the client."""
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import Any, cast
 
-from yarrowspindle.protocol.lines import LineSplitter, LineTooLongError, join_lines
+from yarrowspindle.protocol.lines import LineSplitter, LineTooLongError
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 from yarrowspindle.transport.read_turns import ReadTurns
 
@@ -19,6 +19,7 @@
 MAX_DISCARDED_BYTES = 256 << 20
 MAX_STALLED_WRITE_S = 2.0  # for a peer that reads none of the unsent data
 MAX_SLOW_WRITE_S = 60.0  # for a peer that reads the unsent data, however slowly
+MIN_YIELD_BYTES = 64 * 1024  # after a read of this size more is likely to wait, and the other connections come first
 C_INT = struct.Struct("@i")
 
 
@@ -32,6 +33,7 @@
         transport: The transport; None before the connection is made and after it is lost.
         other: The other side, while both sides relay.
         lines: Splits the peer's data into lines, and holds an incomplete line until its rest arrives.
+        held_back: Whether the other side does not keep up, so that nothing is read.
         closing: Whether our sending direction is closed; received data is discarded then.
         discarded_bytes: The number of bytes discarded.
         linger_timer: Runs until the next check of the peer after our sending direction was closed.
@@ -45,7 +47,7 @@
         self.transport: asyncio.Transport | None = None
         self.other: LineConnection | None = None
         self.lines = LineSplitter()
-        self.closing = False
+        self.closing = self.held_back = False
         self.discarded_bytes = 0
         self.linger_timer: InactivityTimer | None = None
         self.finished_at = self.read_at = 0.0
@@ -76,26 +78,35 @@
         if transport is not None and not self.closing:
             transport.write(data)
 
-    def forward_lines(self, data: bytes) -> list[bytes]:
-        """Send the lines that this data of the peer completes to the other side, and return them.
+    def forward_lines(self, data: bytes) -> bytes:
+        """Send the lines that this data of the peer completes to the other side, and return them, with their CRLFs.
 
         Only complete lines are forwarded. The relay can then send MOVE at any time, and whatever ends the connection,
-        no peer takes part of a line for a whole one.
+        no peer takes part of a line for a whole one. After much data the connection is read again in the next iteration
+        of the event loop, so that one peer that sends without end does not keep the others waiting.
 
         Raises:
             LineTooLongError: A line exceeds the limit; the lines before it were sent.
         """
         try:
-            complete = self.lines.feed(data)
+            complete = self.lines.feed_block(data)
         except LineTooLongError as error:
             self._write_to_other_side(error.lines_before)
             raise
         self._write_to_other_side(complete)
+        if len(data) >= MIN_YIELD_BYTES and (transport := self.open_transport) is not None:
+            transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._read_again)
         return complete
 
-    def _write_to_other_side(self, lines: list[bytes]) -> None:
+    def _read_again(self) -> None:
+        transport = self.open_transport
+        if transport is not None and not self.held_back:
+            transport.resume_reading()
+
+    def _write_to_other_side(self, lines: bytes) -> None:
         if lines and self.other is not None:
-            self.other.write(join_lines(lines))
+            self.other.write(lines)
 
     def discard(self, data: bytes) -> None:
         """Count data that was received after our sending direction was closed, and wait for the next turn to read."""
@@ -106,17 +117,19 @@
     def pause_writing(self) -> None:
         """Stop reading from the other side, as the peer of this side does not keep up."""
         if self.other is not None and (transport := self.other.open_transport):
+            self.other.held_back = True
             transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume reading from the other side."""
         if self.other is not None and (transport := self.other.open_transport):
+            self.other.held_back = False
             transport.resume_reading()
 
     def finish(self, last: bytes = b"") -> None:
         """Send `last` and close the connection gracefully; data that is still received is discarded."""
         transport, closing = self.open_transport, self.closing
-        self.closing = True
+        self.closing, self.held_back = True, False
         self.other = None
         if transport is None or closing:
             return
