Blame no backend for the lines of a client that sends faster than it is answered

Cause: the time from a client's line to its answer counted as the backend's, also where the client's own lines before it, or its not reading, were the reason; the backend was taken for slow, and where nothing came for 2.5 s for one that was reset.

--- a/tests/daemon/test_flooding_clients.py
+++ b/tests/daemon/test_flooding_clients.py
@@ -95,6 +95,7 @@
     "lines of one byte": (1, Load(first=OPEN, piece="a\r\n", waits=True)),
     "lines of sixty bytes": (1, Load(first=OPEN, piece="a" * 60 + "\r\n", waits=True)),
     "lines that look like loads": (1, Load(first=OPEN, piece="LOAD 7\r\n", waits=True)),
+    "lines whose echo is not read": (8, Load(first=OPEN, piece="a\r\n", waits=True, reads=False)),
 }
 
 
--- a/tests/routing/test_data_delays.py
+++ b/tests/routing/test_data_delays.py
@@ -9,6 +9,7 @@
 
 from tests.helpers import WITH_MESSAGE_OBJECTIVE, settings
 from yarrowspindle.decisions.events import ListKind
+from yarrowspindle.routing.effects import MigrateConnection
 from yarrowspindle.routing.events import (
     BackendAccepted,
     BackendConnected,
@@ -19,8 +20,13 @@
     EndpointsUpdated,
     EventLoopStalled,
     RequestReceived,
+    TimerFired,
 )
+from yarrowspindle.routing.health import MAX_RESPONSE_DELAY_MS
 from yarrowspindle.routing.reducer import Reducer
+from yarrowspindle.routing.state import MAX_MEASURED_LINES
+from yarrowspindle.routing.termination import TerminationReason
+from yarrowspindle.routing.timers import LIVENESS_TIMER
 
 READ_DELAY_MS = 140.0
 
@@ -77,3 +83,26 @@
 def test_a_delay_of_an_unknown_request_changes_nothing() -> None:
     reducer, now = establish_connection(0.0)
     assert reducer.step(now, BackendDataDelayed(77, 50.0)) == []
+
+
+@pytest.mark.parametrize("lines", (1, MAX_MEASURED_LINES // 2, MAX_MEASURED_LINES + 1, 1000))
+def test_message_latency_excludes_the_wait_for_the_clients_own_lines(lines: int) -> None:
+    """Guard against a backend that counts as slow because a client sends faster than it is answered."""
+    reducer, now = establish_connection(0.0, 5.0)
+    reducer.step(now, ClientDataForwarded(1, lines))
+    for _ in range(20):
+        reducer.step(now + 0.1, ClientDataForwarded(1, lines))
+        now += READ_DELAY_MS + 20.0
+        reducer.step(now, BackendDataForwarded(1, lines))
+        now += 0.1
+    (backend,) = reducer.balancer.backends.values()
+    assert (backend.slow_until > now) == (2 * lines <= MAX_MEASURED_LINES)
+
+
+@pytest.mark.parametrize(("lines", "reason"), ((1, TerminationReason.UNRESPONSIVE), (1000, TerminationReason.MIGRATED)))
+def test_a_backend_is_not_unresponsive_because_its_client_reads_nothing(lines: int, reason: TerminationReason) -> None:
+    """Guard against a backend that is ejected because clients flood it and do not read its answers."""
+    reducer, now = establish_connection(0.0, 5.0)
+    reducer.step(now, ClientDataForwarded(1, lines))
+    effects = reducer.step(now + MAX_RESPONSE_DELAY_MS + 1.0, TimerFired(LIVENESS_TIMER))
+    assert [effect.reason for effect in effects if isinstance(effect, MigrateConnection)] == [reason]
--- a/yarrowspindle/routing/health.py
+++ b/yarrowspindle/routing/health.py
@@ -106,8 +106,11 @@
         if request is not None and request.backend is not None and request.unanswered:
             backend, now = request.backend, self._context.now
             backend.last_data_at = now
-            backend.message_latencies_ms.append(now - request.record_backend_lines(event.lines))
-            if now >= backend.latencies_reported_at + LATENCY_REPORT_INTERVAL_MS:
+            awaits_backend = request.awaits_backend
+            latency_ms = now - request.record_backend_lines(event.lines)
+            if awaits_backend:
+                backend.message_latencies_ms.append(latency_ms)
+            if backend.message_latencies_ms and now >= backend.latencies_reported_at + LATENCY_REPORT_INTERVAL_MS:
                 self._report_latency(backend, request)
 
     def _report_latency(self, backend: Backend, request: Request) -> None:
@@ -137,11 +140,13 @@
         unresponsive = {
             request.backend
             for request in overdue
-            if request.backend is not None and request.backend.last_data_at < response_cutoff
+            if request.awaits_backend and request.backend is not None and request.backend.last_data_at < response_cutoff
         }
         for request in overdue:
             if request.phase is Phase.ESTABLISHED:
-                self._attempts.close_established(request, TerminationReason.UNRESPONSIVE)
+                # A client that sends faster than it is answered, or that does not read, is no fault of the backend.
+                reason = TerminationReason.UNRESPONSIVE if request.awaits_backend else TerminationReason.MIGRATED
+                self._attempts.close_established(request, reason)
         self._abort_attempts_at(unresponsive)
 
     def _overdue_requests(self) -> list[Request]:
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -12,6 +12,8 @@
 from yarrowspindle.routing.start_times import StartTime
 
 MAX_UNANSWERED_ENTRIES = 64
+# Unanswered lines up to which the time to the answer is the backend's; with more, the client waits for its own lines.
+MAX_MEASURED_LINES = 8
 
 
 class Phase(Enum):
@@ -50,7 +52,9 @@
         write_deadline: When the newest attempt's request must have been written, so that a backend still recognises a
             repeated request.
         existing_connection: A connection from before this process, until it is re-established; else None.
-        unanswered: Pairs of the time at which client lines were forwarded and how many of them have no answer yet.
+        unanswered: The time at which client lines were forwarded, how many of them have no answer yet, and how many
+            lines of the client had none when they were forwarded, themselves included.
+        unanswered_lines: The number of client lines that have no answer yet.
         client_request_id: The client's id for the request; empty if the front created the request itself.
         load: The load of the connection, as last reported, in milliseconds of work per second.
         established_at: When the connection was established; until then, when the request was received.
@@ -65,6 +69,7 @@
         "attempt_started_at",
         "existing_connection",
         "unanswered",
+        "unanswered_lines",
         "client_request_id",
         "received",
         "load",
@@ -84,6 +89,7 @@
         self.attempt_started_at = now
         self.existing_connection: ExistingConnection | None = None
         self.unanswered: deque[list[float]] = deque()
+        self.unanswered_lines = 0
         self.client_request_id = ""
         self.write_deadline = inf
 
@@ -97,17 +103,24 @@
 
         The number of entries is bounded: at the limit the lines are added to the newest entry.
         """
+        self.unanswered_lines += lines
         if len(self.unanswered) < MAX_UNANSWERED_ENTRIES:
-            self.unanswered.append([now, lines])
+            self.unanswered.append([now, lines, self.unanswered_lines])
         else:
             self.unanswered[-1][1] += lines
 
+    @property
+    def awaits_backend(self) -> bool:
+        """Whether the oldest unanswered line waits for the backend, and not for the client's own lines before it."""
+        return bool(self.unanswered) and self.unanswered[0][2] <= MAX_MEASURED_LINES
+
     def record_backend_lines(self, lines: int) -> float:
         """Count answer lines; return when the oldest unanswered line was forwarded, 0 if there was none."""
         oldest_at = self.unanswered[0][0] if self.unanswered else 0.0
         while lines > 0 and self.unanswered:
             answered = min(lines, self.unanswered[0][1])
             lines -= int(answered)
+            self.unanswered_lines -= int(answered)
             self.unanswered[0][1] -= answered
             if self.unanswered[0][1] <= 0:
                 self.unanswered.popleft()
