Remember the id of a request that may still run after its end

Cause: a client's id was known only while its request was open; a client that leaves ends it at once, though the attempt may still run at the backend.

--- a/tests/routing/test_reducer_model.py
+++ b/tests/routing/test_reducer_model.py
@@ -182,7 +182,7 @@
     def receive_request_with_id(self, remaining_ms: float, client_request_id: str, previous_backend: str) -> None:
         """A request with an id in use, an excessive deadline, or a late previous backend gets no attempt."""
         request_id = next(self.next_id)
-        in_use = client_request_id in self.reducer.context.client_request_ids
+        in_use = self.reducer.knows_request_id(client_request_id)
         self.requests[request_id] = ModelRequest(
             self.now + (EXISTING_CONNECTION_DEADLINE_MS if previous_backend else remaining_ms)
         )
@@ -196,7 +196,7 @@
             assert (
                 self.requests[request_id].closed
                 and self.requests[request_id].attempts == 0
-                and (client_request_id in self.reducer.context.client_request_ids) == in_use
+                and self.reducer.knows_request_id(client_request_id) == in_use
             )
 
     @rule(port=st.integers(1, 2))
--- a/yarrowspindle/decisions/rejection.py
+++ b/yarrowspindle/decisions/rejection.py
@@ -10,7 +10,7 @@
     """The reason why a step is not allowed; the value is its published name in logs and metrics."""
 
     SHUTTING_DOWN = "relay_ending"  # this process is shutting down and starts no new work
-    ID_IN_USE = "id_in_use"  # another request has the same client-supplied id
+    ID_IN_USE = "id_in_use"  # another request has the same client-supplied id, or had it and may still run
     DEADLINE_TOO_LONG = "wait_too_long"  # the client's stated wait far exceeds the deadline of its class
     LATE_BACKEND_AFFINITY = "server_chosen_late"  # a client names its previous backend after the first new request
     UNEXPECTED_CLIENT_DATA = "out_of_turn"  # the client sent more data before it received its answer
@@ -28,4 +28,5 @@
     NOT_ESTABLISHED = "not_standing"  # there is no established connection to migrate
     INTERNAL_ERROR = "step_failed"  # unexpected exception, which was logged
     LIST_OUTDATED = "list_outdated"  # the endpoint list is too old, and another process serves the relay's clients
+    TOO_MANY_REQUESTS = "too_many_requests"  # the ids of no more requests that may run only once can be remembered
     SLOW_START = "slow_start"  # the slow-start budget is used up
--- a/yarrowspindle/routing/attempts.py
+++ b/yarrowspindle/routing/attempts.py
@@ -16,6 +16,7 @@
 from yarrowspindle.decisions import request_gate as gate
 from yarrowspindle.decisions.events import NEVER_RAN, EndpointState, Outcome
 from yarrowspindle.decisions.rejection import RejectionReason
+from yarrowspindle.decisions.settings import Idempotency
 from yarrowspindle.routing.context import RoutingContext
 from yarrowspindle.routing.effects import (
     AbortAttempt,
@@ -29,6 +30,7 @@
     SetTimer,
     WatchEndpoints,
 )
+from yarrowspindle.routing.request_ids import retention_ms
 from yarrowspindle.routing.state import Backend, Phase, Request
 from yarrowspindle.routing.termination import OUTCOMES, TerminationReason
 from yarrowspindle.routing.timers import RECONNECT_TIMER, REQUEST_DEADLINE_TIMER
@@ -174,6 +176,7 @@
         if rebalancer is not None:
             self._report_to_rebalancer(rebalancer, request, backend, reason, finished)
         may_have_run = request.phase is Phase.AWAITING_RESPONSE and OUTCOMES[reason] not in NEVER_RAN
+        request.may_have_run |= may_have_run
         if finished:
             self.finish(request)
         else:
@@ -197,7 +200,7 @@
 
         The balancer does not know the request yet, and no other backend may serve it.
         """
-        idempotency = self._context.settings.classes[request.received.request_class].idempotency
+        idempotency = self._context.idempotency(request)
         if gate.is_retry_safe(idempotency, may_have_run):
             self.answer(request.id, RejectRequest(request.id, 0.0, RejectionReason.NO_USABLE_BACKEND))
         else:
@@ -243,9 +246,20 @@
         self._release_backend(request)
         if request.phase is not Phase.ESTABLISHED:
             self._context.effects.append(CancelTimer((REQUEST_DEADLINE_TIMER, request.id)))
+        may_run_again = self._context.idempotency(request) is Idempotency.IDEMPOTENT
+        may_have_run = request.may_have_run or request.phase in (Phase.AWAITING_RESPONSE, Phase.ESTABLISHED)
         request.enter(Phase.CLOSED)
         del self._requests[request.id]
-        self._context.client_request_ids.discard(request.client_request_id)
+        if request.client_request_id:
+            self._release_client_id(request, remember=may_have_run and not may_run_again)
+
+    def _release_client_id(self, request: Request, remember: bool) -> None:
+        context = self._context
+        if remember:
+            until = max(context.now + retention_ms(context.settings), request.deadline)
+            context.client_request_ids.remember(request.client_request_id, until)
+        else:
+            context.client_request_ids.remove(request.client_request_id)
 
     def _release_backend(self, request: Request) -> None:
         if request.backend is not None:
--- a/yarrowspindle/routing/context.py
+++ b/yarrowspindle/routing/context.py
@@ -7,9 +7,10 @@
 
 from yarrowspindle.decisions.balancer import Balancer
 from yarrowspindle.decisions.events import EndpointState
-from yarrowspindle.decisions.settings import Settings
+from yarrowspindle.decisions.settings import Idempotency, Settings
 from yarrowspindle.routing.address import Address
 from yarrowspindle.routing.effects import Effect
+from yarrowspindle.routing.request_ids import ClientRequestIds
 from yarrowspindle.routing.start_times import StartTimes
 from yarrowspindle.routing.state import Backend, Request
 
@@ -36,7 +37,7 @@
         discovery_address: The address of the discovery service; None if there is none.
         balancer: The balancer, which makes the decisions.
         requests: The requests that are not closed, by id.
-        client_request_ids: The clients' ids of the requests that are not closed.
+        client_request_ids: The clients' ids of the requests that are not closed, and of those that may still run.
         serving_new_requests: Whether a client's new request was received; from then on clients may no longer name the
             previous backend of a connection from before this process.
         backends: The backends that are in the endpoint list or have requests, by name.
@@ -79,7 +80,7 @@
         self.discovery_address = discovery_address
         self.balancer = Balancer(settings, seed, now)
         self.requests: dict[int, Request] = {}
-        self.client_request_ids: set[str] = set()
+        self.client_request_ids = ClientRequestIds()
         self.serving_new_requests = False
         self.backends: dict[str, Backend] = {}
         self.backends_by_number: dict[int, Backend] = {}
@@ -93,6 +94,10 @@
         self.evacuator: BackendEvacuator | None = None
         self.effects: list[Effect] = []
 
+    def idempotency(self, request: Request) -> Idempotency:
+        """Return whether an attempt of this request may be repeated."""
+        return self.settings.classes[request.received.request_class].idempotency
+
     def may_exit(self, now: float) -> bool:
         """Return whether the process may exit: the shutdown deadline has passed and new requests are rejected."""
         return self.process_exits and 0.0 < self.shutdown_deadline <= now
--- a/yarrowspindle/routing/reducer.py
+++ b/yarrowspindle/routing/reducer.py
@@ -48,6 +48,7 @@
 )
 from yarrowspindle.routing.health import LIVENESS_INTERVAL_MS, HealthHandlers
 from yarrowspindle.routing.rebalancing import RebalancingHandlers
+from yarrowspindle.routing.request_ids import retention_ms
 from yarrowspindle.routing.requests import RequestHandlers
 from yarrowspindle.routing.state import Backend, Request
 from yarrowspindle.routing.timers import (
@@ -216,6 +217,20 @@
             request.cls for request in context.balancer.requests.values()
         }
 
+    def knows_request_id(self, request_id: str) -> bool:
+        """Return whether a request with this client's id is open, or has ended and may still run."""
+        return self.context.client_request_ids.is_known(request_id, self.context.now)
+
+    def remembered_request_ids(self) -> list[str]:
+        """Return the clients' ids of ended requests that may still run."""
+        return self.context.client_request_ids.remembered(self.context.now)
+
+    def remember_request_id(self, request_id: str) -> None:
+        """Treat this client's id as that of an ended request that may still run, unless a request has it."""
+        context = self.context
+        if not context.client_request_ids.is_known(request_id, context.now):
+            context.client_request_ids.remember(request_id, context.now + retention_ms(context.settings))
+
     @property
     def draining(self) -> bool:
         """Whether a shutdown or drain is in progress."""
--- a/yarrowspindle/routing/requests.py
+++ b/yarrowspindle/routing/requests.py
@@ -7,6 +7,7 @@
 from yarrowspindle.decisions.events import Outcome
 from yarrowspindle.decisions.rejection import RejectionReason
 from yarrowspindle.decisions.request_gate import ANSWER_MARGIN_MS
+from yarrowspindle.decisions.settings import Idempotency
 from yarrowspindle.routing.attempts import Attempts
 from yarrowspindle.routing.context import RoutingContext, backend_id
 from yarrowspindle.routing.effects import (
@@ -35,6 +36,11 @@
 
 # After a restart of the relay clients wait up to 40 s until their existing connections are re-established.
 EXISTING_CONNECTION_DEADLINE_MS = 38_000.0
+HARMLESS_REASONS = (
+    RejectionReason.SHUTTING_DOWN,
+    RejectionReason.DEADLINE_EXCEEDED,
+    RejectionReason.TOO_MANY_REQUESTS,
+)
 
 
 class RequestHandlers:
@@ -85,8 +91,8 @@
         )
 
     def _reject(self, request_id: int, reason: RejectionReason) -> None:
-        # A rejection tells the client that it may retry elsewhere, which is harmless only for these two reasons.
-        if reason in (RejectionReason.SHUTTING_DOWN, RejectionReason.DEADLINE_EXCEEDED):
+        # A rejection tells the client that it may retry elsewhere, which is harmless only for these reasons.
+        if reason in HARMLESS_REASONS:
             self._context.effects.append(RejectRequest(request_id, 0.0, reason))
         else:
             self._context.effects.append(FailRequest(request_id, reason))
@@ -121,16 +127,24 @@
         names_backend = bool(event.previous_backend)
         reason = gate.admission_rejection(
             shutting_down=shutting_down,
-            id_in_use=event.client_request_id in context.client_request_ids,
+            id_in_use=context.client_request_ids.is_known(event.client_request_id, context.now),
             names_backend=names_backend,
             serving_new_requests=context.serving_new_requests,
             remaining_ms=event.remaining_ms,
             class_deadline_ms=context.settings.classes[event.request_class].deadline_ms,
         )
+        if reason is None and self._cannot_remember(event):
+            reason = RejectionReason.TOO_MANY_REQUESTS
         if not names_backend and (reason is None or reason is RejectionReason.SHUTTING_DOWN):
             context.serving_new_requests = True
         return reason
 
+    def _cannot_remember(self, event: RequestReceived) -> bool:
+        """Return whether the request may run only once, and its id could not be remembered after its end."""
+        context = self._context
+        idempotency = context.settings.classes[event.request_class].idempotency
+        return idempotency is not Idempotency.IDEMPOTENT and context.client_request_ids.is_full(context.now)
+
     # --- the client -------------------------------------------------------------------------------
 
     def on_client_disconnected(self, event: ClientDisconnected) -> None:
--- a/yarrowspindle/routing/state.py
+++ b/yarrowspindle/routing/state.py
@@ -55,6 +55,7 @@
         unanswered: The time at which client lines were forwarded, how many of them have no answer yet, and how many
             lines of the client had none when they were forwarded, themselves included.
         unanswered_lines: The number of client lines that have no answer yet.
+        may_have_run: Whether an attempt that has ended may have run.
         client_request_id: The client's id for the request; empty if the front created the request itself.
         load: The load of the connection, as last reported, in milliseconds of work per second.
         established_at: When the connection was established; until then, when the request was received.
@@ -70,6 +71,7 @@
         "existing_connection",
         "unanswered",
         "unanswered_lines",
+        "may_have_run",
         "client_request_id",
         "received",
         "load",
@@ -90,6 +92,7 @@
         self.existing_connection: ExistingConnection | None = None
         self.unanswered: deque[list[float]] = deque()
         self.unanswered_lines = 0
+        self.may_have_run = False
         self.client_request_id = ""
         self.write_deadline = inf
 
