Ask the other process of an upgrade for an id before a request is placed

Cause: the processes of one relay share their clients' address and knew nothing of each other's ids.

Evidence: the two upgrade tests of tests/daemon/test_repeated_ids.py failed on the untouched program: UP instead of ERR.

Change: while there is another process, a request waits for its answer over the link that the QUIC front uses (0.2 s at most, taken off its time); a process that ends hands over the ids that it remembers; of two requests with one id that come to both processes at once one is served. Without another process nothing waits.

--- a/yarrowspindle/fronts/line_front.py
+++ b/yarrowspindle/fronts/line_front.py
@@ -11,6 +11,7 @@
 
 from yarrowspindle.fronts.connection_limiter import ConnectionLimiter
 from yarrowspindle.fronts.connection_log import IdleCloseReason, log_idle_close, log_incomplete_line
+from yarrowspindle.fronts.request_id_check import RequestIdCheck
 from yarrowspindle.protocol import lines
 from yarrowspindle.protocol.lines import LineError, OpenRequest
 from yarrowspindle.routing.effects import (
@@ -86,6 +87,7 @@
         )
         self.idle_close_reason = IdleCloseReason.NO_FIRST_LINE
         self.network = LocalNetworkMonitor()
+        self.request_ids = RequestIdCheck(service)
         self.clients: dict[int, ClientConnection] = {}
         self.first_lines: dict[int, OpenRequest] = {}
         self.backends: dict[int, BackendConnection] = {}
@@ -152,6 +154,7 @@
         """
         while not self.service.reducer.may_exit(self.runtime.clock.now()):
             await asyncio.sleep(SHUTDOWN_POLL_S)
+        self.request_ids.post_all()
         self.service.finish_shutdown()
         started_at = self.loop.time()
         await self.listener.close(deadline_s)
@@ -160,6 +163,7 @@
         for backend in [side for side in self.limiter.connections if isinstance(side, BackendConnection)]:
             backend.finish_migration_now()
         await self._drain_clients(deadline_s)
+        self.request_ids.hand_over_ids()
         for _ in range(FINAL_LOOP_ITERATIONS):
             await wait_for_socket_reads()
 
@@ -215,7 +219,7 @@
         self.limiter.on_request(side)
         side.request = received.request = self.service.new_request(self)
         self.clients[side.request], self.first_lines[side.request] = side, first_line
-        self.service.post(received)
+        self.request_ids.post(received)
 
     def _parse_request(self, side: ClientConnection, first_line: OpenRequest) -> RequestReceived:
         """Return the request of a first line.
@@ -245,7 +249,10 @@
 
     def unexpected_client_data(self, request: int) -> None:
         """Post that the client sent data while it waited for its answer."""
-        self.service.post(UnexpectedClientData(request))
+        if self.request_ids.withdraw(request):
+            self._answer(request, lines.ERR)
+        else:
+            self.service.post(UnexpectedClientData(request))
 
     def client_data_forwarded(self, request: int, lines: int) -> None:
         """Post the number of complete lines that were forwarded to the backend, if there were any."""
@@ -254,7 +261,8 @@
 
     def client_disconnected(self, request: int) -> None:
         """Post that the client has disconnected."""
-        self.service.post(ClientDisconnected(request))
+        if not self.request_ids.withdraw(request):
+            self.service.post(ClientDisconnected(request))
 
     def client_connection_lost(self, side: ClientConnection) -> None:
         """Forget the connection, and its request if that has not ended."""
--- a/yarrowspindle/transport/process_link.py
+++ b/yarrowspindle/transport/process_link.py
@@ -40,6 +40,7 @@
     ANSWER = 0  # the body is one byte: 1 for yes, 0 for no
     DATAGRAM = 1  # does the other process handle this datagram of a QUIC client?
     REQUEST_ID = 2  # does the other process have a request with this id?
+    ENDED_REQUEST_IDS = 3  # these requests of a process that ends may still run; the answer is yes
 
 
 Handler = Callable[[bytes], bool]  # answers a question
