Read 32 kB at once into one buffer, and hold 16 kB for a side that does not keep up

Cause: a connection read up to 256 kB at once, the event loop's own buffer, and what the other side did not take was held, in each direction of each connection.

Change: connections read into one buffer of 32 kB (256 kB where data is only discarded, which is no longer copied), and the other side is not read while more than 16 kB wait in the transport.

A stand-in transport accepts set_write_buffer_limits.

--- a/tests/daemon/test_flooding_clients.py
+++ b/tests/daemon/test_flooding_clients.py
@@ -20,6 +20,7 @@
 MAX_WAIT_S = WAIT_MS / 1000.0 + LATE_S
 FLOOD_S = 6.0
 API_FLOOD_S, ESTABLISHED_FLOOD_S = 3.0, 2.0
+MAX_MEMORY_MB = 64.0  # a third of the greatest limit of the page
 FLOODING_PROCESSES = 3  # one alone does not send to all of its clients at full speed
 
 
@@ -81,6 +82,11 @@
     run(tmp_path, body, sockets=256)
 
 
+def peak_memory_mb(pid: int) -> float:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024.0
+
+
 async def api_status(port: int) -> bytes:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
@@ -113,3 +119,26 @@
         assert statistics.median(answer.wait_s for answer in load.answers) <= MAX_MEDIAN_S
 
     run(tmp_path, body)
+
+
+DEAF_CLIENTS = 300  # under a third of the descriptors
+DESCRIPTORS = 1024
+
+
+def test_clients_that_send_and_do_not_read_take_little_memory_each(tmp_path: Path) -> None:
+    """Guard against a process that exceeds its memory limit by what it holds for clients that do not keep up."""
+
+    async def body(env: RelayEnvironment) -> None:
+        load = usual.Load()
+        flood = Load(first=OPEN, piece="a" * 100 + "\r\n", waits=True, reads=False)
+        async with echoing_processes(env), AsyncExitStack() as floods:
+            for _ in range(FLOODING_PROCESSES):
+                process = flooding(env.port, DEAF_CLIENTS // FLOODING_PROCESSES, flood, 2.0 * FLOOD_S)
+                await floods.enter_async_context(process)
+            await usual_requests(env, load, FLOOD_S)
+            memory_mb = peak_memory_mb(env.process.pid)
+        assert memory_mb <= MAX_MEMORY_MB
+        assert load.words().keys() <= {"UP", "BUSY"}, load.words()
+        assert load.longest_wait_s() <= MAX_WAIT_S
+
+    run(tmp_path, body, sockets=DESCRIPTORS)
--- a/tests/transport/test_line_connections.py
+++ b/tests/transport/test_line_connections.py
@@ -22,6 +22,9 @@
     def __getattr__(self, name: str) -> Callable[..., None]:
         raise AssertionError(f"unexpected call: {name}")
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        self.high_water = high
+
     def get_extra_info(self, name: str) -> None:
         return None
 
--- a/yarrowspindle/transport/backend.py
+++ b/yarrowspindle/transport/backend.py
@@ -96,7 +96,7 @@
     def data_received(self, data: bytes) -> None:
         """Forward data to the client once the request is accepted; before, read the backend's answer."""
         if self.closing:
-            self.discard(data)
+            self.discard(len(data))
         elif self.accepted:
             self._forward(data)
         else:
--- a/yarrowspindle/transport/client.py
+++ b/yarrowspindle/transport/client.py
@@ -77,7 +77,7 @@
     def data_received(self, data: bytes) -> None:
         """Forward data to the backend while relaying; before, read the first line."""
         if self.closing:
-            self.discard(data)
+            self.discard(len(data))
         elif self.other is not None:
             self._forward(data)
         elif self.request:  # the client has to wait for the answer; its data is neither buffered nor forwarded
--- a/yarrowspindle/transport/connector.py
+++ b/yarrowspindle/transport/connector.py
@@ -132,7 +132,9 @@
             protocol was connected.
     """
 
-    def __init__(self, protocol: asyncio.Protocol, address: Address, failed: Callable[[ConnectFailure], None]) -> None:
+    def __init__(
+        self, protocol: asyncio.BaseProtocol, address: Address, failed: Callable[[ConnectFailure], None]
+    ) -> None:
         self.protocol, self.address, self.failed = protocol, address, failed
         self.state = ConnectState.PENDING
         self.task: asyncio.Task[None] | None = None
--- a/yarrowspindle/transport/line_connection.py
+++ b/yarrowspindle/transport/line_connection.py
@@ -12,22 +12,23 @@
 
 from yarrowspindle.protocol.lines import LineSplitter, LineTooLongError
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
-from yarrowspindle.transport.read_turns import ReadTurns
+from yarrowspindle.transport.read_turns import READ_BYTES, ReadTurns
 
 LINGER_INTERVAL_S = 0.5  # after closing our sending direction, for a peer that sends nothing to close as well
 MAX_DISCARD_S = 5.0  # for a peer that still sends: it may read our last line only after sending everything
 MAX_DISCARDED_BYTES = 256 << 20
 MAX_STALLED_WRITE_S = 2.0  # for a peer that reads none of the unsent data
 MAX_SLOW_WRITE_S = 60.0  # for a peer that reads the unsent data, however slowly
-MIN_YIELD_BYTES = 64 * 1024  # after a read of this size more is likely to wait, and the other connections come first
+MAX_UNSENT_BYTES = 16 * 1024  # in the transport's buffer; beyond it nothing more is read from the other side
 C_INT = struct.Struct("@i")
 
 
-class LineConnection(asyncio.Protocol):
+class LineConnection(asyncio.BufferedProtocol):
     """One side of a relayed connection. Times are in seconds of the event loop's clock.
 
     Args:
-        read_turns: The turns in which data is read after our sending direction was closed; None: at any time.
+        read_turns: The read buffers, and the turns in which data is read after our sending direction was closed.
+            A front shares one object among its connections; without it the connection has its own.
 
     Attributes:
         transport: The transport; None before the connection is made and after it is lost.
@@ -43,7 +44,7 @@
     """
 
     def __init__(self, read_turns: ReadTurns | None = None) -> None:
-        self.read_turns = read_turns
+        self.read_turns = read_turns or ReadTurns()
         self.transport: asyncio.Transport | None = None
         self.other: LineConnection | None = None
         self.lines = LineSplitter()
@@ -56,6 +57,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and disable Nagle's algorithm."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         sock: Any = transport.get_extra_info("socket")
         if sock is not None and sock.family != socket.AF_UNIX:
             with suppress(OSError):  # not essential: the connection works without it
@@ -94,7 +96,7 @@
             self._write_to_other_side(error.lines_before)
             raise
         self._write_to_other_side(complete)
-        if len(data) >= MIN_YIELD_BYTES and (transport := self.open_transport) is not None:
+        if len(data) >= READ_BYTES and (transport := self.open_transport) is not None:
             transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._read_again)
         return complete
@@ -108,11 +110,25 @@
         if lines and self.other is not None:
             self.other.write(lines)
 
-    def discard(self, data: bytes) -> None:
-        """Count data that was received after our sending direction was closed, and wait for the next turn to read."""
-        self.discarded_bytes += len(data)
-        if self.read_turns is not None:
-            self.read_turns.wait(self.open_transport)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        del sizehint
+        return self.read_turns.discard_buffer if self.closing else self.read_turns.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read into the buffer."""
+        if self.closing:
+            self.discard(nbytes)
+        else:
+            self.data_received(bytes(self.read_turns.read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes."""
+
+    def discard(self, nbytes: int) -> None:
+        """Count bytes that were received after our sending direction was closed, and wait for the next turn to read."""
+        self.discarded_bytes += nbytes
+        self.read_turns.wait(self.open_transport)
 
     def pause_writing(self) -> None:
         """Stop reading from the other side, as the peer of this side does not keep up."""
--- a/yarrowspindle/transport/listener.py
+++ b/yarrowspindle/transport/listener.py
@@ -71,7 +71,7 @@
         self,
         address: Address,
         backlog: int,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
         make_room: Callable[[], bool],
         log_warning: Callable[[str], None],
         reuse_port: bool = True,
@@ -133,7 +133,7 @@
             task.add_done_callback(self.tasks.discard)
         return QueueState.MORE
 
-    async def _hand_over(self, sock: socket.socket, protocol: asyncio.Protocol) -> None:
+    async def _hand_over(self, sock: socket.socket, protocol: asyncio.BaseProtocol) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: protocol, sock)
         except OSError as error:
--- a/yarrowspindle/transport/read_turns.py
+++ b/yarrowspindle/transport/read_turns.py
@@ -1,6 +1,6 @@
-"""Turns in which connections read data that is only discarded, so that senders at full speed cost a bounded effort.
+"""How much connections read at once, and the turns in which they read data that is only discarded.
 
-Without a bound the event loop would spend all its time on such data: it arrives as fast as it is read.
+Without bounds a peer that sends at full speed would take the event loop's time, and memory for each of its connections.
 """
 
 from __future__ import annotations
@@ -9,17 +9,22 @@
 from collections import deque
 
 TURN_INTERVAL_S = 0.01
-READS_PER_TURN = 16  # of at most 256 kB each, the event loop's read buffer: 400 MB/s for all connections together
+READS_PER_TURN = 16  # of at most DISCARD_BYTES each: 400 MB/s for all connections together
+READ_BYTES = 32 * 1024  # of data that is forwarded, and held where the other side does not keep up
+DISCARD_BYTES = 256 * 1024
 
 
 class ReadTurns:
-    """A queue of connections that stop reading after each read, and read again when it is their turn.
+    """The read buffers of all connections, and a queue of connections that read again when it is their turn.
 
-    It must be created inside a running event loop.
+    Attributes:
+        discard_buffer: for data that is only discarded.
+        read_buffer: for all other data, which is copied before another connection reads.
     """
 
     def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
+        self.discard_buffer = memoryview(bytearray(DISCARD_BYTES))
+        self.read_buffer = self.discard_buffer[:READ_BYTES]
         self._waiting: deque[asyncio.Transport] = deque()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -30,7 +35,10 @@
         transport.pause_reading()
         self._waiting.append(transport)
         if self._timer is None:
-            self._timer = self._loop.call_later(TURN_INTERVAL_S, self._next_turn)
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(TURN_INTERVAL_S, self._next_turn)
 
     def _next_turn(self) -> None:
         self._timer = None
@@ -39,4 +47,4 @@
             if not transport.is_closing():
                 transport.resume_reading()
         if self._waiting:
-            self._timer = self._loop.call_later(TURN_INTERVAL_S, self._next_turn)
+            self._set_timer()
