Free the data of a rejected call of the operators' API at once

Cause: the exception of the parser's callback was a local variable of the function that its own traceback refers to, so that each rejected call kept up to 256 kB until a full garbage collection, which the relay makes rarely; a call and its parser were a cycle as well.

Change: the status is taken from the exception in a function of its own; the parser is dropped with the connection; calls read into the relay's shared buffer.

--- a/tests/daemon/test_flooding_clients.py
+++ b/tests/daemon/test_flooding_clients.py
@@ -74,10 +74,12 @@
             await usual_requests(env, load, API_FLOOD_S)
             assert not calls.done() or calls.result() is None
             calls.cancel()
+            memory_mb = peak_memory_mb(env.process.pid)
         assert load.words().keys() <= {"UP", "BUSY"}, load.words()
         assert load.longest_wait_s() <= MAX_WAIT_S
         assert statistics.median(answer.wait_s for answer in load.answers) <= MAX_MEDIAN_S
         assert waits and max(waits) <= MAX_WAIT_S
+        assert memory_mb <= MAX_MEMORY_MB
 
     run(tmp_path, body, sockets=256)
 
--- a/yarrowspindle/operator_api/http.py
+++ b/yarrowspindle/operator_api/http.py
@@ -67,13 +67,23 @@
         self.status = status
 
 
-class Call(asyncio.Protocol):
+def _rejection_status(error: httptools.HttpParserError) -> HTTPStatus:
+    """Return the status for an error of the parser, which wraps the exceptions of its callbacks.
+
+    The wrapped exception must not become a variable of `Call.data_received`: its traceback refers to that frame, and so
+    the data would be kept until the next garbage collection.
+    """
+    cause = error.__context__
+    return cause.status if isinstance(cause, CallRejectedError) else HTTPStatus.BAD_REQUEST
+
+
+class Call(asyncio.BufferedProtocol):
     """One connection with one call. The body is stored only if some route of the API reads bodies."""
 
     def __init__(self, api: OperatorApi) -> None:
         self.api = api
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.url = b""
         self.body = b""
         self.bytes_before_body = 0  # as received, before parsing
@@ -90,11 +100,21 @@
         self.transport = cast(asyncio.Transport, transport)
         self.timeout = InactivityTimer(CALL_TIMEOUT_S, self.abort)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and reject a call that is malformed or too large."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        del sizehint
+        return self.api.read_turns.discard_buffer if self.done else self.api.read_turns.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read into the buffer; after the response it is discarded."""
         if self.done:
             self.api.read_turns.wait(self.transport)
-            return
+        else:
+            self.data_received(bytes(self.api.read_turns.read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and reject a call that is malformed or too large."""
+        assert self.parser is not None
         try:
             if not self.headers_complete:
                 self.bytes_before_body += len(data)
@@ -106,8 +126,7 @@
         except httptools.HttpParserUpgrade:
             self.respond(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError as error:
-            cause = error.__context__  # the parser wraps exceptions of its callbacks
-            self.respond(cause.status if isinstance(cause, CallRejectedError) else HTTPStatus.BAD_REQUEST)
+            self.respond(_rejection_status(error))
 
     def eof_received(self) -> bool:
         """Reject a call that ends before it is complete."""
@@ -121,6 +140,7 @@
         if self.timeout is not None:
             self.timeout.cancel()
         self.transport = None
+        self.parser = None  # which refers to this object: without the cycle both are freed at once
         self.api.remove(self)
 
     # --- callbacks of the parser ------------------------------------------------------------------
@@ -153,6 +173,7 @@
 
     def on_message_complete(self) -> None:
         """Carry out the call and send the response."""
+        assert self.parser is not None
         method = self.parser.get_method().decode("ascii", "replace")
         try:
             path = httptools.parse_url(self.url).path.decode("ascii")
