Limit the first flights of one QUIC client address that wait for a backend

Cause: each Initial of an unknown id took a place in the table until its time was over, and one address could take them all.

Change: at most eight connections of one address that no backend has accepted yet; further ones are dropped and counted.

--- a/tests/fronts/test_quic_front.py
+++ b/tests/fronts/test_quic_front.py
@@ -19,12 +19,15 @@
 from yarrowspindle.daemon.relay_service import RelayService
 from yarrowspindle.decisions.events import EndpointState, ListKind
 from yarrowspindle.decisions.settings import Idempotency, RequestClass, Settings
+from yarrowspindle.fronts.quic_flow import MAX_PENDING_PER_ADDRESS
 from yarrowspindle.fronts.quic_front import QuicFront
 from yarrowspindle.protocol import quic
 from yarrowspindle.routing.address import Address
 from yarrowspindle.routing.events import Endpoint, EndpointsUpdated
 from yarrowspindle.runtime import SystemClock
 
+ANSWER_S = 0.4  # in which a backend has to answer, see `run_with_backends`
+
 
 @dataclass
 class QuicSetup:
@@ -315,3 +318,21 @@
     assert len(ids) == 50 and {IDS.decode(connection_id) for connection_id in ids} == {(7, 9)}
     assert quic.ConnectionIdCodec(bytes(16)).decode(next(iter(ids))) != (7, 9)
     assert quic.stateless_reset(bytes(16), 21) is None and len(quic.stateless_reset(bytes(16), 1200) or b"") == 43
+
+
+def test_first_flights_of_one_address_leave_room_for_other_clients() -> None:
+    """Guard against a client that takes the whole table with Initials under ever new connection ids."""
+
+    async def body(setup: QuicSetup) -> None:
+        for number in range(60):
+            connection_id = number.to_bytes(8, "big")
+            initial = b"\xc0\0\0\0\1\x08" + connection_id + b"\x08abcdefgh\0\x44\x96" + bytes(1174)
+            setup.front.on_client_datagram(initial, ("127.0.0.1", 9))
+        assert len(setup.front.table.flows) == MAX_PENDING_PER_ADDRESS
+        client = await setup.connected_client()
+        assert await client.exchange(b"x")
+        assert setup.front.counts["no_room"] == 0
+        await asyncio.sleep(2.0 * ANSWER_S)
+        assert not setup.front.table.pending, "each has had its answer"
+
+    run_with_backends(body, {}, class_deadline_ms=1000.0 * ANSWER_S)
--- a/yarrowspindle/fronts/quic_flow.py
+++ b/yarrowspindle/fronts/quic_flow.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
 from yarrowspindle.protocol.quic import ConnectionKey
@@ -11,6 +11,7 @@
 from yarrowspindle.transport.inactivity_timer import InactivityTimer
 
 NO_ATTEMPT = -1
+MAX_PENDING_PER_ADDRESS = 8  # connections of one client address that no backend has accepted yet
 MAX_ENDED_IDS_PER_CONNECTION = 4  # remembered ids of ended connections, per connection that the table may hold
 
 
@@ -24,6 +25,7 @@
         client_connection_id: the client's own connection id.
         version: the QUIC version.
         client_address: the address from which the client last sent a datagram.
+        pending_address: the address under which it counts as one that no backend has accepted yet; None afterwards.
         last_received_at: when the client, or once the connection is established the backend, last sent a datagram.
         first_flight: the client's first datagrams, kept until the connection is established to resend them to another
             backend if the attempt fails.
@@ -64,6 +66,7 @@
     unanswered_since: float = 0.0
     unanswered_datagrams: int = 0
     timeout: InactivityTimer | None = None
+    pending_address: Address | None = None
 
     @property
     def sent_datagrams(self) -> int:
@@ -107,6 +110,7 @@
         self.flows: dict[int, Flow] = {}
         self.by_connection_id: dict[bytes, Flow] = {}
         self.by_link: dict[ConnectionKey, Flow] = {}
+        self.pending: Counter[Address] = Counter()  # by the client's first address
         self.ended_ids: OrderedDict[bytes | ConnectionKey, float] = OrderedDict()  # time at which each expires
 
     @property
@@ -114,9 +118,15 @@
         """Whether the maximum number of connections is reached."""
         return len(self.flows) >= self.max_connections
 
+    def may_begin(self, client: Address) -> bool:
+        """Return whether one more connection of this client address may begin."""
+        return self.pending[client] < MAX_PENDING_PER_ADDRESS
+
     def add(self, flow: Flow) -> None:
         """Add a connection under its first id."""
         self.flows[flow.request] = flow
+        flow.pending_address = flow.client_address
+        self.pending[flow.client_address] += 1
         self.add_id(flow, flow.original_connection_id)
 
     def add_id(self, flow: Flow, connection_id: bytes) -> None:
@@ -129,6 +139,14 @@
         flow.link = link
         self.by_link[link] = flow
 
+    def end_pending(self, flow: Flow) -> None:
+        """Count the connection no longer as one that waits for a backend."""
+        address, flow.pending_address = flow.pending_address, None
+        if address is not None:
+            self.pending[address] -= 1
+            if not self.pending[address]:
+                del self.pending[address]
+
     def contains(self, flow: Flow) -> bool:
         """Return whether the connection has not ended."""
         return self.flows.get(flow.request) is flow
@@ -136,6 +154,7 @@
     def remove(self, flow: Flow, now: float, remember: bool) -> None:
         """Remove a connection; if `remember` is set, keep its ids as those of an ended connection."""
         self.flows.pop(flow.request, None)
+        self.end_pending(flow)
         keys: list[bytes | ConnectionKey] = [*flow.connection_ids]
         for connection_id in flow.connection_ids:
             self.by_connection_id.pop(connection_id, None)
--- a/yarrowspindle/fronts/quic_front.py
+++ b/yarrowspindle/fronts/quic_front.py
@@ -179,6 +179,8 @@
             self.counts["answered_before"] += 1  # the client has not received its answer yet; never send a second one
         elif self.table.is_full:
             self.counts["no_room"] += 1
+        elif not self.table.may_begin(client):
+            self.counts["too_many_pending"] += 1  # one client must not take the room of all others
         else:
             flow = self._new_flow(header, data, client)
             key = int.from_bytes(header.destination[:MIN_CONNECTION_ID_BYTES], "big")
@@ -351,6 +353,7 @@
     def _start_relaying(self, effect: StartRelaying) -> None:
         flow = self.table.flows[effect.request]
         flow.established = True
+        self.table.end_pending(flow)
         flow.first_flight.clear()
         flow.cancel_timeout()
         pending, flow.pending_datagrams = flow.pending_datagrams, []
