Forward one short line without looking into it

Change: a read that is one block of whole short lines is passed on as it is, and a block without LOAD is not searched for it line by line.

--- a/tests/protocol/test_protocol.py
+++ b/tests/protocol/test_protocol.py
@@ -235,13 +235,15 @@
     ]
     others = [kind for kind in kinds if kind is not LineKind.LOAD]
     summary = lines.summarize_backend_lines(b"".join(part + b"\r\n" for part in parts))
-    assert summary == lines.BackendLines(loads, len(others), others[-1] if others else None)
+    assert (list(summary.loads), *summary[1:]) == (loads, len(others), others[-1] if others else None)
 
 
 def test_the_summary_of_very_many_lines_holds_the_newest_loads() -> None:
     block = b"".join(b"LOAD %d\r\n" % number for number in range(1000))
     summary = lines.summarize_backend_lines(b"x\r\n" + block)
-    assert summary.loads == [float(number) for number in range(1000 - lines.MAX_LOADS, 1000)] and summary.others == 1
+    assert (
+        list(summary.loads) == [float(number) for number in range(1000 - lines.MAX_LOADS, 1000)] and summary.others == 1
+    )
     assert lines.summarize_backend_lines(b"LOAD 4\r\n" + b"x\r\n" * 1000) == lines.BackendLines(
         [4.0], 1000, LineKind.OTHER
     )
--- a/yarrowspindle/protocol/lines.py
+++ b/yarrowspindle/protocol/lines.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 MAX_LINE_BYTES = 4096
 CRLF = b"\r\n"
@@ -211,8 +213,7 @@
     return tuple(values[name] for name in fields) if values.keys() >= set(fields) else ()
 
 
-@dataclass(slots=True, frozen=True)
-class BackendLines:
+class BackendLines(NamedTuple):
     """What the relay has to know of the lines that a backend sent on an established connection.
 
     Attributes:
@@ -221,7 +222,7 @@
         last_kind: The kind of the last one of these; None if there is none.
     """
 
-    loads: list[float]
+    loads: Sequence[float]
     others: int
     last_kind: LineKind | None
 
@@ -231,9 +232,11 @@
 
     The cost hardly depends on the number of lines: short lines without end must not delay other connections.
     """
-    load_lines = _count_load_lines(block) if b"LOAD" in block else 0
-    loads = _newest_loads(block) if load_lines else []
-    return BackendLines(loads, block.count(CRLF) - load_lines, _last_kind(block))
+    lines = block.count(CRLF)
+    if b"LOAD" not in block:
+        start = block.rfind(CRLF, 0, -len(CRLF)) + len(CRLF) if lines > 1 else 0
+        return BackendLines((), lines, LINE_KINDS.get(block[start : -len(CRLF)].partition(b" ")[0], LineKind.OTHER))
+    return BackendLines(_newest_loads(block), lines - _count_load_lines(block), _last_kind(block))
 
 
 def _count_load_lines(block: bytes) -> int:
@@ -289,6 +292,8 @@
         """
         if self.rest:
             data = self.rest + data
+        elif len(data) <= MAX_LINE_BYTES and data.endswith(CRLF):
+            return data  # the usual case: one short line
         end = data.rfind(CRLF) + len(CRLF) if CRLF in data else 0
         block, self.rest = data[:end], data[end:]
         long_at = _first_long_line(block)
