--- a/tests/daemon/test_repeated_ids.py
+++ b/tests/daemon/test_repeated_ids.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 import struct
 from pathlib import Path
@@ -99,3 +100,33 @@
         assert set(load.attempts.values()) == {1}
 
     run(tmp_path, body, **RUNS_ONCE)
+
+
+def test_a_client_that_leaves_or_sends_on_while_the_other_process_is_asked_starts_no_attempt(tmp_path: Path) -> None:
+    """Guard against a request that is placed after its client has left, since another process was asked meanwhile."""
+
+    async def send_on(env: RelayEnvironment) -> str:
+        client = await send(env, next(env.request_ids))
+        await asyncio.sleep(0.05)
+        client.send_lines("too early")
+        return await client.read_line()
+
+    async def give_up(env: RelayEnvironment) -> None:
+        client = await send(env, next(env.request_ids))
+        await asyncio.sleep(0.05)
+        leave(client, True)
+
+    async def body(env: RelayEnvironment) -> None:
+        async with echoing(env) as load, second_process(env) as second:
+            await second.wait_for_log("serves at")
+            second.process.send_signal(signal.SIGSTOP)
+            sending = asyncio.gather(*(send_on(env) for _ in range(IDS)))
+            leaving = asyncio.gather(*(give_up(env) for _ in range(IDS)))
+            await leaving
+            await asyncio.sleep(0.1)
+            second.process.send_signal(signal.SIGCONT)
+            assert await sending == ["ERR"] * IDS
+            await asyncio.sleep(0.5)
+        assert not load.attempts
+
+    run(tmp_path, body, **RUNS_ONCE)
