--- a/tests/daemon/test_startup_and_shutdown.py
+++ b/tests/daemon/test_startup_and_shutdown.py
@@ -260,6 +260,9 @@
         def is_closing(self) -> bool:
             return False
 
+        def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+            pass
+
     connection, transport = LineConnection(), Transport()
     connection.connection_made(transport)
     assert connection.open_transport is transport
