Link to another process only where one listens at the clients' address

Change: a process connects to others only where the kernel shows another listener at its address, as the hand-over of the listener does.

--- a/tests/transport/test_process_link.py
+++ b/tests/transport/test_process_link.py
@@ -108,3 +108,15 @@
         foreign.close()
 
     run(body)
+
+
+def test_no_link_to_a_process_whose_address_is_the_same_in_another_network() -> None:
+    """Guard against relays that ask each other though the kernel deals no connection to both."""
+
+    async def body(first: ProcessLink, second: ProcessLink) -> None:
+        third = ProcessLink(("127.0.0.1", int(first.name_prefix.rpartition(":")[2].rstrip("/"))))
+        await third.open(connect=False)
+        assert not third.connections and len(first.connections) == 1
+        third.close()
+
+    run(body)
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -100,7 +100,7 @@
         self.service.start()
         self._start_configuration()
         await self._wait_for_list()
-        await self.service.process_link.open()
+        await self.service.process_link.open(connect=other_process_listens(self.config.listen))
         await self._start_fronts()
         await self._start_membership()
         self._start_reports()
--- a/yarrowspindle/transport/process_link.py
+++ b/yarrowspindle/transport/process_link.py
@@ -132,8 +132,12 @@
         self.questions = 0
         self.server: asyncio.Server | None = None
 
-    async def open(self) -> None:
-        """Listen, and connect to the processes that listen already; if that fails, log it."""
+    async def open(self, connect: bool = True) -> None:
+        """Listen, and connect to the processes that listen already; if that fails, log it.
+
+        Args:
+            connect: whether there is another process. One whose address is the same in another network is none.
+        """
         try:
             sock = socket.socket(socket.AF_UNIX)
             sock.setblocking(False)
@@ -141,7 +145,7 @@
             self.server = await asyncio.get_running_loop().create_unix_server(
                 lambda: LinkConnection(self), sock=sock, backlog=LISTEN_BACKLOG
             )
-            for name in self._other_names():
+            for name in self._other_names() if connect else ():
                 await self._connect(name)
         except (OSError, AttributeError) as error:
             logger.warning("no link to other processes of this relay: {!r}", error)
