Start with the endpoint list that an earlier process of the relay was sent

Cause: what a process was told ended with it. A new one began with the list of its configuration (version 41, the drains are 42 and 43), asked discovery for 1 s and served on it. Shown by the trace: each late attempt stands in the new process's log with list_version=41 list_age_ms=none; the former process began none after the drain. Excluded by that: the former process, a late answer, list_freshness.

Change: the list, its version and the time at which discovery sent it are kept in $TMPDIR, which all processes of a relay have in common, and a start uses them unless its configuration's list is newer. The line on the cached list states its version.

test_a_new_process_does_not_use_a_cached_list_that_the_old_process_knows_to_be_outdated waited for the log line of a change that the new process now knows from the start.

--- a/benchmarks/capacity/data_path.py
+++ b/benchmarks/capacity/data_path.py
@@ -445,6 +445,7 @@
         folder / "relay.log",
         ROUTER_CONFIG=str(folder / "config.json"),
         YARROWSPINDLE_OPERATOR=str(folder / "operator.toml"),
+        TMPDIR=str(folder),
     )
     return relay, address
 
--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -98,7 +98,8 @@
     with tempfile.TemporaryDirectory() as folder:
         config_path = Path(folder) / "config.json"
         config_path.write_text(json.dumps(config))
-        environment = os.environ | {"ROUTER_CONFIG": str(config_path), "YARROWSPINDLE_OPERATOR": ""}
+        variables = {"ROUTER_CONFIG": str(config_path), "YARROWSPINDLE_OPERATOR": "", "TMPDIR": folder}
+        environment = os.environ | variables
         relay = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "yarrowspindle", cwd=root, env=environment, stderr=asyncio.subprocess.DEVNULL
         )
--- a/benchmarks/soak/relays.py
+++ b/benchmarks/soak/relays.py
@@ -177,6 +177,7 @@
         operator.write_text('[log]\nlevel = "DEBUG"\n')
         env = {key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")}
         env |= {"ROUTER_CONFIG": str(self.write_config()), "YARROWSPINDLE_OPERATOR": str(operator)}
+        env["TMPDIR"] = str(self.context.folder)  # kept over restarts, and common to the processes of an upgrade
         if self.context.shim_library is not None:
             self.page = Page(self.context.folder / f"{self.instance}.page")
             self.page.set(Field.WALL_NS, self.clock_step_ms * 1_000_000)
--- a/tests/daemon/test_list_age.py
+++ b/tests/daemon/test_list_age.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.daemon.upgrade import GRACE_S, TIMEOUT_SLACK_S, Traffic, accept_requests, send_requests
+from tests.daemon.upgrade import GRACE_S, REFUSED, TIMEOUT_SLACK_S, Traffic, accept_requests, send_requests
 from tests.stand_ins import SETTINGS, WATCH_RESPONSE_HEAD, LineServer, RelayEnvironment, run
 from yarrowspindle.decisions.events import ListKind
 from yarrowspindle.protocol.endpoint_list import ZoneAndKindNames
@@ -21,7 +21,6 @@
 SLOW_POLLS = SETTINGS["obligations"] | {"ask_within_ms": 10_000.0}
 STATE_CHANGE_S = 3.3  # after the last data on the watch; a process that is stopped then lives to the end of the test
 LONG_DEADLINE = [dict(SETTINGS["categories"][0]) | {"deadline_ms": 3000.0}]
-REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
 def stay(env: RelayEnvironment) -> None:
--- a/tests/daemon/test_startup_and_shutdown.py
+++ b/tests/daemon/test_startup_and_shutdown.py
@@ -46,7 +46,8 @@
         occupied.bind((host, int(port)))
         occupied.listen()
         (tmp_path / "config.json").write_text(json.dumps(configuration))
-        env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        variables = {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        env = os.environ | variables | {"TMPDIR": str(tmp_path)}
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "yarrowspindle", cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL
         )
@@ -124,7 +125,8 @@
 
     async def body() -> None:
         (tmp_path / "config.json").write_text(json.dumps(config([Backend()])))
-        env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        variables = {"ROUTER_CONFIG": str(tmp_path / "config.json"), "YARROWSPINDLE_OPERATOR": ""}
+        env = os.environ | variables | {"TMPDIR": str(tmp_path)}
         command = [sys.executable, "-B", "-c", SIGNAL_DURING_EXIT, str(int(number)), step]
         process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         assert process.stderr is not None
--- a/tests/daemon/test_upgrade_drains.py
+++ b/tests/daemon/test_upgrade_drains.py
@@ -142,6 +142,8 @@
         await env.next_log_line("s-1 draining")
         drained_at = time.monotonic()
         await asyncio.sleep(GRACE_S + TIMEOUT_SLACK_S)
+        for stored_list in tmp_path.glob("*.endpoints"):  # this is the case in which the new process has no newer list
+            stored_list.unlink()
         async with second_process(env) as second:
             tasks.append(asyncio.ensure_future(send_requests(env, traffic, 0.01)))
             call = await second.discovery.next_connection()
--- a/tests/daemon/upgrade.py
+++ b/tests/daemon/upgrade.py
@@ -18,6 +18,7 @@
 
 TIMEOUT_SLACK_S = 0.05  # the operators' tolerance on each time limit on sockets
 CROSSING_S = 0.001  # a close that arrives this soon after a line on an idle connection was under way before it
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 GRACE_S = 0.4  # `drain_grace_ms` of `stand_ins.SETTINGS`
 
 
@@ -71,6 +72,13 @@
 
         await asyncio.wait_for(find(), TIMEOUT_S)
 
+    async def refuse_calls(self) -> None:
+        """Answer each of the process's calls to discovery with an error, until cancelled."""
+        while True:
+            call = await self.discovery.accepted.get()
+            call.writer.write(REFUSED)
+            call.writer.close()
+
     async def answer_watch(self, **phases: str) -> LinePeer:
         """Answer the process's next call to discovery with a full list, and return the watch."""
         watch = await self.discovery.next_connection()
@@ -88,6 +96,7 @@
     discovery = await LineServer().open()
     variables = {"ROUTER_CONFIG": str(env.config_file), "ROUTER_DISCOVERY": f"127.0.0.1:{discovery.port}"}
     variables["YARROWSPINDLE_OPERATOR"] = str(env.config_file.with_name("operator.toml"))
+    variables["TMPDIR"] = str(env.config_file.parent)  # common to all processes of a relay
     command = (sys.executable, "-B", "-m", "yarrowspindle")
     process = await asyncio.create_subprocess_exec(
         *command, cwd=ROOT, env=os.environ | variables, stderr=asyncio.subprocess.PIPE
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -268,7 +268,7 @@
     env.config_file.write_text(json.dumps(config))
     (tmp / "operator.toml").write_text(operator)
     variables = {"ROUTER_CONFIG": str(tmp / "config.json"), "YARROWSPINDLE_OPERATOR": str(tmp / "operator.toml")}
-    process_env = os.environ | variables
+    process_env = os.environ | variables | {"TMPDIR": str(tmp)}
 
     def limit_descriptors() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from yarrowspindle.daemon.config import Config, ConfigError, load_config
+from yarrowspindle.daemon.list_store import ListStore, list_file_of, load_list
 from yarrowspindle.daemon.metrics_reporter import report_periodically
 from yarrowspindle.daemon.operator_config import OperatorConfig, load_operator_config
 from yarrowspindle.daemon.relay_service import RelayService
@@ -92,12 +93,14 @@
         self.configuration: RelayEndpoint | None = None
         self.membership: MembershipEndpoint | None = None
         self.maintenance: MaintenanceEndpoint | None = None
-        self.background: list[asyncio.Task[None]] = []  # reports, and parts whose address is not available yet
+        self.list_store: ListStore | None = None
+        # Reports, parts whose address is not available yet, and looks at the stored list.
+        self.background: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down."""
         self._handle_signals()
-        self.service.start()
+        self._start_service()
         self._start_configuration()
         await self._wait_for_list()
         await self.service.process_link.open(connect=other_process_listens(self.config.listen))
@@ -118,6 +121,23 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.shutdown_requested.set)
 
+    def _start_service(self) -> None:
+        """Start with the list that an earlier process of the relay has stored, and store what discovery sends."""
+        file = list_file_of(self.config)
+        self.service.start(load_list(file))
+        if file is not None:
+            self.list_store = ListStore(self.service.list_sharing, file)
+            self.list_store.start()
+
+    def _follow_stored_list(self) -> None:
+        """Take up what another process of the relay stores, while one serves."""
+        if self.list_store is not None:
+            following = self.list_store.follow(self._other_process_listens)
+            self.background.append(asyncio.get_running_loop().create_task(following))
+
+    def _other_process_listens(self) -> bool:
+        return other_process_listens(self.config.listen) if self.front is None else self.front.successor_listens()
+
     def _start_configuration(self) -> None:
         if self.operator.control is None:
             return
@@ -130,12 +150,15 @@
         """Wait for discovery before serving if another process of this relay serves, which may know newer lists."""
         if not other_process_listens(self.config.listen):
             return
+        self._follow_stored_list()
         max_wait_s = min(MAX_LIST_WAIT_S, LIST_WAIT_FRACTION * self.service.longest_deadline_ms() / 1000.0)
         if await self.service.confirm_list(max_wait_s):
             logger.info("another process of this relay serves: this one has confirmed the endpoint list and takes over")
         else:
             logger.warning(
-                "discovery has not answered within {:.1f} s: serving on the cached endpoint list", max_wait_s
+                "discovery has not answered within {:.1f} s: serving on the cached endpoint list (version {})",
+                max_wait_s,
+                self.service.list_sharing.version.number,
             )
 
     async def _start_fronts(self) -> None:
@@ -220,6 +243,7 @@
         if await self._successor_changes(True, deadline):
             logger.info("another process of this relay serves: new connections are left to it")
             self.service.post(SuccessorServing())
+            self._follow_stored_list()
             assert self.front is not None
             await self.front.hand_over(asyncio.get_running_loop().time() + HAND_OVER_S)
             if await self._successor_changes(False, deadline):
@@ -255,6 +279,8 @@
             await self.front.shut_down(deadline + CONNECTION_CLOSE_S)
         for task in self.background:
             task.cancel()
+        if self.list_store is not None:
+            await self.list_store.close()
         for endpoint in (self.configuration, self.maintenance, self.membership):
             if endpoint is not None:
                 await endpoint.close()
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -13,10 +13,12 @@
 from loguru import logger
 
 from yarrowspindle.daemon.config import Config, ConfigError
+from yarrowspindle.daemon.list_sharing import ListSharing
 from yarrowspindle.daemon.metrics import Metrics
 from yarrowspindle.daemon.operator_config import OperatorConfig, load_operator_config
 from yarrowspindle.daemon.settings_update import apply_shared_settings, merge_settings, reload_config
 from yarrowspindle.decisions.settings import MAX_STALL_MS
+from yarrowspindle.protocol.shared_list import StoredList
 from yarrowspindle.routing.effects import CancelHealthCheck, Effect, WatchEndpoints
 from yarrowspindle.routing.events import (
     DiscoveryAddressChanged,
@@ -85,6 +87,7 @@
         self.reload_listeners: list[Callable[[OperatorConfig], None]] = []
         self.serving = False  # whether the fronts accept connections
         self.process_link = ProcessLink(config.listen)
+        self.list_sharing = ListSharing(self.reducer, self.post, config.known)
         self._attach_observers()
         self._set_up_endpoint_watch()
         self._set_up_health_checker()
@@ -112,10 +115,11 @@
     def _set_up_endpoint_watch(self) -> None:
         self.endpoint_watch = EndpointWatch(
             self.config.names,
-            self.post,
+            self.list_sharing.on_own_update,
             lambda reason: logger.warning("the watch on the endpoint list ended: {}", reason),
             lambda text: logger.debug("{}", text),
         )
+        self.list_sharing.endpoint_watch = self.endpoint_watch
         self.metrics.counter_sources["list"] = self.endpoint_watch.counts
         self.metrics.gauge_sources.append(self.endpoint_watch.gauges)
         self.runtime.watch_endpoints = self._watch_endpoints
@@ -134,15 +138,15 @@
     def _cancel_health_check(self, effect: CancelHealthCheck) -> None:
         self.health_checker.disconnect({effect.backend})
 
-    def start(self) -> None:
-        """Start the runtime with the endpoint list of the configuration."""
+    def start(self, stored_list: StoredList | None = None) -> None:
+        """Start the runtime with the stored endpoint list, or that of the configuration if there is no newer one."""
         self.runtime.start()
         if self.operator.turns is not None:
             from yarrowspindle.maintenance.evacuation import MaintenancePlan  # an optional feature
 
             # Reject requests until this process knows which backends are under maintenance.
             self.post(MaintenanceUpdated(MaintenancePlan()))
-        self.post(self.config.known)
+        self.list_sharing.start(stored_list)
         self._configure_rebalancing()
 
     def _observe_effect(self, effect: Effect) -> None:
@@ -197,7 +201,7 @@
         """Request the endpoint list at once, and return whether discovery has delivered it within `max_wait_s`."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + max_wait_s
-        self.endpoint_watch.open(self.config.known.version, self.config.discovery)
+        self.endpoint_watch.open(self.list_sharing.version.number, self.config.discovery)
         while self.endpoint_watch.list_age_ms() is None and loop.time() < deadline:
             await asyncio.sleep(LIST_POLL_S)
         return self.endpoint_watch.list_age_ms() is not None
--- a/yarrowspindle/decisions/backend_registry.py
+++ b/yarrowspindle/decisions/backend_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from yarrowspindle.decisions.backends import MIN_CAPACITY, Backend
-from yarrowspindle.decisions.events import Endpoint, EndpointList, EndpointState, ListKind
+from yarrowspindle.decisions.events import Endpoint, EndpointList, EndpointState
 from yarrowspindle.decisions.requests import Request
 from yarrowspindle.decisions.slow_start import SlowStart
 from yarrowspindle.decisions.state import BalancerState
@@ -21,7 +21,7 @@
     def apply(self, event: EndpointList) -> None:
         """Apply an endpoint list. A full or cached list removes backends that it does not contain from the rings."""
         state = self.state
-        if event.kind is not ListKind.DELTA:
+        if not event.kind.is_incremental:
             listed = {entry.backend for entry in event.entries}
             for backend in [b for b in state.fleet_ring.members if b.id not in listed]:
                 self.set_ready(backend, False)
--- a/yarrowspindle/decisions/balancer.py
+++ b/yarrowspindle/decisions/balancer.py
@@ -137,10 +137,11 @@
         if event.kind is ListKind.CONFIRMED:
             self.state.list_freshness.on_heartbeat(self.state.now)
             return
-        if event.kind is not ListKind.CACHED:
+        if event.kind not in (ListKind.CACHED, ListKind.SHARED):
             self.state.list_freshness.on_update(self.state.now)
         self.registry.apply(event)
-        self.discovery.on_list(event.kind)
+        if event.kind is not ListKind.SHARED:  # this process's own calls to discovery are not answered by it
+            self.discovery.on_list(event.kind)
         self.lifecycle.place_queued()
         self.health_checks.start()
 
--- a/yarrowspindle/decisions/events.py
+++ b/yarrowspindle/decisions/events.py
@@ -27,6 +27,12 @@
     CACHED = 2  # all entries as last known, possibly outdated
     FAILED = 3  # no entries: a poll or the subscription failed; the previous list stays in use
     CONFIRMED = 4  # no entries: discovery has sent a heartbeat; the previous list is current
+    SHARED = 5  # changed entries only, which discovery has sent to another process of the same relay
+
+    @property
+    def is_incremental(self) -> bool:
+        """Whether entries that it does not contain stay as they are."""
+        return self in (ListKind.DELTA, ListKind.SHARED)
 
 
 class Outcome(IntEnum):
--- a/yarrowspindle/lab/processes/relay_process.py
+++ b/yarrowspindle/lab/processes/relay_process.py
@@ -93,7 +93,11 @@
             if run.peers
             else ""
         )
-        return {"ROUTER_CONFIG": str(config_file), "YARROWSPINDLE_OPERATOR": str(operator_file)}
+        return {
+            "ROUTER_CONFIG": str(config_file),
+            "YARROWSPINDLE_OPERATOR": str(operator_file),
+            "TMPDIR": str(directory),
+        }
 
     @property
     def cluster(self) -> str:
--- a/yarrowspindle/routing/endpoints.py
+++ b/yarrowspindle/routing/endpoints.py
@@ -64,11 +64,12 @@
         if event.kind is ListKind.CONFIRMED:
             self._attempts.notify_balancer(balancer_events.EndpointList(event.kind))
             return
-        self._failed_calls = 0
+        if event.kind is not ListKind.SHARED:
+            self._failed_calls = 0
         context = self._context
         context.endpoint_list_version = event.version
         changes = EndpointChanges()
-        if event.kind is not ListKind.DELTA:
+        if not event.kind.is_incremental:
             self._remove_missing(event.endpoints, changes)
         entries = [self._apply_entry(endpoint, event.since_last_update_ms, changes) for endpoint in event.endpoints]
         if context.rebalancer is not None:
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -16,6 +16,7 @@
 from yarrowspindle.transport.endpoint_list_watch import WatchConnection
 
 LOCAL_RETRY_S = 0.025  # after a failure of this host's own system calls
+MAX_BEHIND_S = 1.0  # for which the own watch may lack a version that another process of the relay has received
 MAX_PENDING_CALLS = 12  # calls in flight besides the newest; each one times out on its own
 
 
@@ -30,7 +31,8 @@
         log: called with a debug line for each call, its first list and its end.
 
     Attributes:
-        counts: number of calls to discovery, of updates received and of failures, by their published names.
+        counts: number of calls to discovery, of updates received, of versions taken up from another process and of
+            failures, by their published names.
         watch: the newest call.
         watch_address: the address of the discovery service that `watch` connects to.
         connecting: attempts to connect, by watch.
@@ -39,7 +41,8 @@
         last_active_at: event loop time in seconds at which a service last sent data on a watch that had received its
             list; None before the first time.
         last_active_address: the address of that service.
-        version: the newest list version that was reported since `open` last requested the full list.
+        version: the newest list version that was reported, here or by another process of the relay, since `open` last
+            requested the full list.
         older_list_rejected: whether the last watch was ended because its full list was older than `version`.
     """
 
@@ -143,6 +146,22 @@
             if watch is not None:
                 self._end(watch, "closed")
 
+    def adopt_version(self, version: int) -> None:
+        """Report nothing older than this version, which another process of the relay has received.
+
+        The own watch is renewed unless it delivers that version soon: it may receive updates no longer, or its service
+        may have begun its version numbers anew.
+        """
+        self.counts["taken_up"] += 1
+        self.version, self.older_list_rejected = version, False
+        if self.watch is not None and self.watch.has_list:
+            asyncio.get_running_loop().call_later(MAX_BEHIND_S, self._renew_if_behind, self.watch, version)
+
+    def _renew_if_behind(self, watch: WatchConnection, version: int) -> None:
+        if watch is self.watch and watch.list_version < version:
+            self.log(f"discovery call={watch.number} has not delivered version {version}: it is renewed")
+            self.open(self.version, watch.address, renew=True)
+
     # --- for logs and metrics -----------------------------------------------------------------------
 
     def list_age_ms(self) -> float | None:
--- a/yarrowspindle/telemetry/guard.py
+++ b/yarrowspindle/telemetry/guard.py
@@ -250,7 +250,7 @@
     def _on_endpoints_updated(self, event: EndpointsUpdated) -> None:
         if event.kind in (ListKind.FAILED, ListKind.CONFIRMED):
             return
-        if event.kind is not ListKind.DELTA:
+        if not event.kind.is_incremental:
             self._endpoints = {}
         for endpoint in event.endpoints:
             known = self._endpoints.get(endpoint.name)
--- a/yarrowspindle/transport/endpoint_list_watch.py
+++ b/yarrowspindle/transport/endpoint_list_watch.py
@@ -47,6 +47,7 @@
     Attributes:
         opened_at: Event loop time in seconds at which the call began.
         has_list: Whether a list has been received.
+        list_version: The version of the last list or change that was received.
         ended: Whether the watch has ended.
         inactivity_timer: Ends the watch unless data arrives in time.
     """
@@ -61,6 +62,7 @@
         self.inactivity_timer: InactivityTimer | None = None
         self.ended = False
         self.has_list = False
+        self.list_version = 0
 
     def start_first_list_timer(self) -> None:
         """Start the time-out of the first list. Call it before the connection is opened."""
@@ -95,7 +97,7 @@
             return
         for update in updates:
             if not self.ended:
-                self.has_list = True
+                self.has_list, self.list_version = True, update.version
                 self.sink.endpoints_received(self, update)
         if self.has_list and not self.ended:
             self.sink.watch_active(self)
