Let no late first list of a renewed watch undo a drain

Seen: in tests only. While a watch is renewed the former one stays open; if that brings a drain, and the first list of the new call was drawn up before it and arrives later, the backend counts as ready again and gets new work.

Cause: EndpointWatch noted the version of updates from the new watch only, so that its guard against older lists did not know of what the former watch had brought.

Change: the version of each update from the present address of discovery is noted, and neither watch reports anything older; an older full list is asked for once more and taken the second time, as before.

--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -214,15 +214,13 @@
                 self._promote(watch)
             else:
                 self._keep_as_previous(watch)
-        if watch is self.watch and 0 < update.version < self.version:
-            if update.kind is ListKind.DELTA:
-                return
-            if not self.older_list_rejected:
-                self.older_list_rejected = True
-                watch.end(f"full list has version {update.version}, older than {self.version}; requesting it again")
+        if watch.address == self.watch_address:
+            if 0 < update.version < self.version and self._reject_older(watch, update):
                 return
+            if watch in (self.watch, self.previous):
+                self.version = update.version
         if watch is self.watch:
-            self.version, self.older_list_rejected = update.version, False
+            self.older_list_rejected = False
         if watch is self.watch and self.previous is not None:
             previous, self.previous = self.previous, None
             previous.end("replaced by a newer watch that has received its list")
@@ -238,6 +236,16 @@
             update.since_last_update_ms = self._silence_ms(watch)
             self.on_update(update)
 
+    def _reject_older(self, watch: WatchConnection, update: EndpointsUpdated) -> bool:
+        """Return whether to ignore an update that is older than the last one; a full list is requested once more."""
+        if update.kind is ListKind.DELTA or watch is not self.watch:
+            return True
+        if self.older_list_rejected:
+            return False
+        self.older_list_rejected = True
+        watch.end(f"full list has version {update.version}, older than {self.version}; requesting it again")
+        return True
+
     def first_list_overdue(self, watch: WatchConnection, reason: str) -> None:
         """Report a failure of the newest call, so that another one is made, and keep it open beside that one."""
         if watch is not self.watch or self.closed:
