Ask for the full list where discovery knows only older versions

Discovery that starts again with lower revisions and answers the relay's version 43 with changes of version 3 was ignored from then on: neither drains nor returns were acted on until it had reached 43 again.

Cause: an older full list is asked for once more and then taken, but older changes were taken for late ones, on a watch whose heartbeats confirm the list all the while.

Change: where changes are older than the version from which they were requested, the service does not know that version: the watch is ended and the full list is requested, and taken. Changes that are merely late are ignored as before.

Evidence: test_a_service_that_knows_only_older_versions_is_asked_for_the_full_list failed at (no further call) and passes.

--- a/tests/daemon/test_adopted_versions.py
+++ b/tests/daemon/test_list_versions.py
@@ -1,4 +1,4 @@
-"""A watch on the endpoint list whose process has taken up a version that another process was told of."""
+"""Which versions a watch on the endpoint list reports, also after one was taken up from another process."""
 
 from __future__ import annotations
 
@@ -143,3 +143,28 @@
         assert watched.watch.counts["calls"] == 1 and watched.versions() == [42, 43]
 
     run(body)
+
+
+def test_a_service_that_knows_only_older_versions_is_asked_for_the_full_list() -> None:
+    """Guard against a relay that ignores all changes for good, since discovery has begun its versions anew."""
+
+    async def body(watched: Watched) -> None:
+        call, _ = await watched.next_call()
+        send(call, 42, True, s1="draining")
+        await asyncio.sleep(0.05)
+        call.writer.close()
+        await asyncio.sleep(0.05)
+        watched.watch.open(42, watched.address)
+        restarted, request = await watched.next_call()
+        assert "index=42" in request
+        send(restarted, 3)
+        await asyncio.sleep(0.05)
+        watched.watch.open(42, watched.address)
+        again, request = await watched.next_call()
+        assert "index=0" in request
+        send(again, 3, True, s1="ready")
+        send(again, 4, s1="draining")
+        await asyncio.sleep(0.05)
+        assert watched.versions() == [42, 3, 4]
+
+    run(body)
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -43,7 +43,8 @@
         last_active_address: the address of that service.
         version: the newest list version that was reported, here or by another process of the relay, since `open` last
             requested the full list.
-        older_list_rejected: whether the last watch was ended because its full list was older than `version`.
+        older_list_rejected: whether the last watch was ended because its list was older than `version`.
+        requests_full_list: whether that was a change, so that the service has to be asked for the full list.
     """
 
     def __init__(
@@ -64,7 +65,7 @@
         self.last_active_at: float | None = None
         self.last_active_address: Address | None = None
         self.version = 0
-        self.older_list_rejected = False
+        self.older_list_rejected = self.requests_full_list = False
 
     def open(self, version: int, address: Address, renew: bool = False) -> None:
         """Watch the list at `address` from `version` on.
@@ -81,7 +82,8 @@
         self.version = max(version, self.version) if version else 0
         self.watch_address = address
         self.counts["calls"] += 1
-        self.watch = watch = WatchConnection(self, self.names, address, version, self.counts["calls"])
+        requested_version = 0 if self.requests_full_list else version
+        self.watch = watch = WatchConnection(self, self.names, address, requested_version, self.counts["calls"])
         self.log(
             f"discovery call={watch.number} opened address={address[0]}:{address[1]} version={version} "
             f"{self.describe()} pending_calls={len(self.pending_calls)} previous_open={self.previous is not None}"
@@ -153,7 +155,7 @@
         may have begun its version numbers anew.
         """
         self.counts["taken_up"] += 1
-        self.version, self.older_list_rejected = version, False
+        self.version, self.older_list_rejected, self.requests_full_list = version, False, False
         if self.watch is not None and self.watch.has_list:
             asyncio.get_running_loop().call_later(MAX_BEHIND_S, self._renew_if_behind, self.watch, version)
 
@@ -206,7 +208,7 @@
     def endpoints_received(self, watch: WatchConnection, update: EndpointsUpdated) -> None:
         """Report an update, unless it is older than the last one reported: an older list would undo drains.
 
-        An older full list is requested once more and accepted the second time, since the service may have restarted its
+        An older list is requested once more and accepted the second time, since the service may have restarted its
         version numbers.
         """
         if watch in self.pending_calls:
@@ -220,7 +222,7 @@
             if watch in (self.watch, self.previous):
                 self.version = update.version
         if watch is self.watch:
-            self.older_list_rejected = False
+            self.older_list_rejected = self.requests_full_list = False
         if watch is self.watch and self.previous is not None:
             previous, self.previous = self.previous, None
             previous.end("replaced by a newer watch that has received its list")
@@ -237,13 +239,16 @@
             self.on_update(update)
 
     def _reject_older(self, watch: WatchConnection, update: EndpointsUpdated) -> bool:
-        """Return whether to ignore an update that is older than the last one; a full list is requested once more."""
-        if update.kind is ListKind.DELTA or watch is not self.watch:
+        """Return whether to ignore an update that is older than the last one; a list is requested once more.
+
+        A change is merely late if the service knows the version from which changes were requested.
+        """
+        if watch is not self.watch or (update.kind is ListKind.DELTA and update.version >= watch.version):
             return True
-        if self.older_list_rejected:
+        if self.older_list_rejected and update.kind is ListKind.FULL:
             return False
-        self.older_list_rejected = True
-        watch.end(f"full list has version {update.version}, older than {self.version}; requesting it again")
+        self.older_list_rejected, self.requests_full_list = True, update.kind is ListKind.DELTA
+        watch.end(f"the list has version {update.version}, older than {self.version}; requesting it again")
         return True
 
     def first_list_overdue(self, watch: WatchConnection, reason: str) -> None:
