Pass changes of the endpoint list between the processes of a relay

Cause: the processes passed ids and datagrams to each other, but not the list. The trace shows the late attempts in the new process with version 41, after the former one had logged the drains (42, 43).

Change: the link carries the list. Each side announces its version, the newer list is sent whole, then its changes, drains and returns alike; it is opened before the wait for discovery. A process that does not read gets the newest state of what it lacks once it reads again. Processes of earlier builds are not sent messages that they do not understand. Parts of a long list are handled one in each turn of the event loop.

--- a/tests/daemon/test_upgrade_drains.py
+++ b/tests/daemon/test_upgrade_drains.py
@@ -12,6 +12,7 @@
 
 from tests.daemon.upgrade import (
     GRACE_S,
+    NO_LINK,
     TIMEOUT_SLACK_S,
     Traffic,
     accept_requests,
@@ -144,7 +145,7 @@
         await asyncio.sleep(GRACE_S + TIMEOUT_SLACK_S)
         for stored_list in tmp_path.glob("*.endpoints"):  # this is the case in which the new process has no newer list
             stored_list.unlink()
-        async with second_process(env) as second:
+        async with second_process(env, NO_LINK) as second:
             tasks.append(asyncio.ensure_future(send_requests(env, traffic, 0.01)))
             call = await second.discovery.next_connection()
             await asyncio.sleep(0.5)  # discovery takes its time
--- a/tests/daemon/upgrade.py
+++ b/tests/daemon/upgrade.py
@@ -17,6 +17,9 @@
 from tests.stand_ins import ROOT, TIMEOUT_S, LinePeer, LineServer, RelayEnvironment
 
 TIMEOUT_SLACK_S = 0.05  # the operators' tolerance on each time limit on sockets
+RUN_RELAY = "from yarrowspindle.daemon.main import main; sys.exit(main())"
+# No other process of the relay is found where it listens for them, as on a system without Unix sockets.
+NO_LINK = "from yarrowspindle.transport import process_link; process_link.NAME_PREFIX = 'elsewhere/'"
 CROSSING_S = 0.001  # a close that arrives this soon after a line on an idle connection was under way before it
 REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 GRACE_S = 0.4  # `drain_grace_ms` of `stand_ins.SETTINGS`
@@ -91,13 +94,18 @@
 
 
 @asynccontextmanager
-async def second_process(env: RelayEnvironment) -> AsyncIterator[SecondProcess]:
-    """Start a second process of the relay with the same configuration; it is killed when the block ends."""
+async def second_process(env: RelayEnvironment, script: str = "") -> AsyncIterator[SecondProcess]:
+    """Start a second process of the relay with the same configuration; it is killed when the block ends.
+
+    Args:
+        env: the environment.
+        script: Python code that is run first in that process.
+    """
     discovery = await LineServer().open()
     variables = {"ROUTER_CONFIG": str(env.config_file), "ROUTER_DISCOVERY": f"127.0.0.1:{discovery.port}"}
     variables["YARROWSPINDLE_OPERATOR"] = str(env.config_file.with_name("operator.toml"))
     variables["TMPDIR"] = str(env.config_file.parent)  # common to all processes of a relay
-    command = (sys.executable, "-B", "-m", "yarrowspindle")
+    command = (sys.executable, "-B", "-c", f"{script}\nimport sys\n{RUN_RELAY}")
     process = await asyncio.create_subprocess_exec(
         *command, cwd=ROOT, env=os.environ | variables, stderr=asyncio.subprocess.PIPE
     )
--- a/yarrowspindle/daemon/relay_service.py
+++ b/yarrowspindle/daemon/relay_service.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from yarrowspindle.daemon.config import Config, ConfigError
+from yarrowspindle.daemon.list_link import ListLink
 from yarrowspindle.daemon.list_sharing import ListSharing
 from yarrowspindle.daemon.metrics import Metrics
 from yarrowspindle.daemon.operator_config import OperatorConfig, load_operator_config
@@ -88,6 +89,7 @@
         self.serving = False  # whether the fronts accept connections
         self.process_link = ProcessLink(config.listen)
         self.list_sharing = ListSharing(self.reducer, self.post, config.known)
+        self.list_link = ListLink(self.list_sharing, self.process_link, config.name, config.names)
         self._attach_observers()
         self._set_up_endpoint_watch()
         self._set_up_health_checker()
--- a/yarrowspindle/decisions/list_freshness.py
+++ b/yarrowspindle/decisions/list_freshness.py
@@ -9,7 +9,8 @@
 | any other: start, steady, reload, drain, shutdown | `MAX_LIST_AGE_MS`; `DiscoveryPolling` polls in time | placed: \
 discovery cannot be reached, and is polled until it can |
 
-The same holds for pushed and for polled lists.
+The same holds for pushed and for polled lists. What discovery has sent to another process of the relay is applied as an
+update of the kind SHARED, which confirms nothing here: this process has not heard from discovery by it.
 """
 
 from __future__ import annotations
--- a/yarrowspindle/protocol/shared_list.py
+++ b/yarrowspindle/protocol/shared_list.py
@@ -113,7 +113,7 @@
         previous, self._encoded = self._encoded, {}
         for endpoint in endpoints:
             known = previous.get(endpoint.name)
-            if known is None or known[0] != endpoint:
+            if known is None or (known[0] is not endpoint and known[0] != endpoint):
                 known = endpoint, self.encode(endpoint)
             self._encoded[endpoint.name] = known
         return [data for _, data in self._encoded.values()]
--- a/yarrowspindle/transport/process_link.py
+++ b/yarrowspindle/transport/process_link.py
@@ -1,4 +1,4 @@
-"""Questions between the processes of one relay on one machine, of which there are two during an upgrade.
+"""Messages between the processes of one relay on one machine, of which there are two during an upgrade.
 
 Each process listens on a Unix socket in the abstract namespace, whose name begins with the clients' address; a process
 that starts finds the others in /proc/net/unix (proc(5)) and connects to them. Only processes of the same user are
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
-from typing import cast
+from typing import Protocol, cast
 
 from loguru import logger
 
@@ -25,6 +25,9 @@
 
 SOCKET_TABLE = Path("/proc/net/unix")
 NAME_PREFIX = "yarrowspindle/"
+LIST_SUFFIX = (
+    "/endpoint-list"  # ends the name where the process exchanges lists, which earlier builds do not understand
+)
 HEADER = struct.Struct("!IBQ")  # length of the body, kind, number of the question
 CREDENTIALS = struct.Struct("@iII")  # struct ucred of unix(7): process, user, group
 MAX_BODY_BYTES = 1 << 17  # a datagram and its sender's address
@@ -41,11 +44,25 @@
     DATAGRAM = 1  # does the other process handle this datagram of a QUIC client?
     REQUEST_ID = 2  # does the other process have a request with this id?
     ENDED_REQUEST_IDS = 3  # these requests of a process that ends may still run; the answer is yes
+    ENDPOINT_LIST = 4  # a part of the endpoint list; no answer
 
 
 Handler = Callable[[bytes], bool]  # answers a question
 
 
+class ListReceiver(Protocol):
+    """Exchanges the endpoint list with other processes."""
+
+    def on_connected(self, side: LinkConnection) -> None:
+        """Handle a connection to a process that exchanges lists."""
+
+    def on_message(self, side: LinkConnection, body: bytes) -> None:
+        """Handle a message of the kind ENDPOINT_LIST."""
+
+    def on_lost(self, side: LinkConnection) -> None:
+        """Handle the end of any connection."""
+
+
 @dataclass(slots=True)
 class Pending:
     """A question without an answer, and the connections from which one may still arrive."""
@@ -58,12 +75,16 @@
 class LinkConnection(asyncio.Protocol):
     """The connection to one other process.
 
+    Args:
+        link: the link of this process.
+        exchanges_lists: whether the other process is known to exchange lists.
+
     Attributes:
         silent: whether the last question was not answered in time; no further one is sent until a message arrives.
     """
 
-    def __init__(self, link: ProcessLink) -> None:
-        self.link = link
+    def __init__(self, link: ProcessLink, exchanges_lists: bool = False) -> None:
+        self.link, self.exchanges_lists = link, exchanges_lists
         self.transport: asyncio.Transport | None = None
         self.received = b""
         self.silent = False
@@ -75,6 +96,13 @@
             self.transport.abort()
             return
         self.link.connections.add(self)
+        if self.exchanges_lists and self.link.list_receiver is not None:
+            self.link.list_receiver.on_connected(self)
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self.transport is None or self.transport.is_closing()
 
     def data_received(self, data: bytes) -> None:
         """Handle each complete message; end the connection at a malformed one."""
@@ -97,7 +125,7 @@
     def send(self, kind: Kind, number: int, body: bytes) -> bool:
         """Send a message; return False if it cannot be sent now."""
         transport = self.transport
-        if transport is None or transport.is_closing() or transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if transport is None or self.closed or transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
         transport.write(HEADER.pack(len(body), kind, number) + body)
         return True
@@ -121,13 +149,15 @@
     Attributes:
         handlers: answers to the questions of other processes, by their kind; without one the answer is no.
         connections: one for each other process.
+        list_receiver: exchanges the endpoint list; set before the link is opened.
     """
 
     def __init__(self, address: Address) -> None:
         self.name_prefix = "{}{}:{}/".format(NAME_PREFIX, *address)
-        self.name = self.name_prefix + secrets.token_hex(8)
+        self.name = self.name_prefix + secrets.token_hex(8) + LIST_SUFFIX
         self.handlers: dict[Kind, Handler] = {}
         self.connections: set[LinkConnection] = set()
+        self.list_receiver: ListReceiver | None = None
         self.pending: dict[int, Pending] = {}
         self.questions = 0
         self.server: asyncio.Server | None = None
@@ -163,7 +193,10 @@
         sock.setblocking(False)
         try:
             sock.connect("\0" + name)
-            await asyncio.get_running_loop().create_unix_connection(lambda: LinkConnection(self), sock=sock)
+            exchanges_lists = name.endswith(LIST_SUFFIX)
+            await asyncio.get_running_loop().create_unix_connection(
+                lambda: LinkConnection(self, exchanges_lists), sock=sock
+            )
         except OSError as error:  # the process has just ended
             sock.close()
             logger.info("another process of this relay cannot be reached: {!r}", error)
@@ -199,6 +232,10 @@
         if kind is Kind.ANSWER:
             self._on_answer(side, number, body == b"\1")
             return
+        if kind is Kind.ENDPOINT_LIST:
+            if self.list_receiver is not None:
+                self.list_receiver.on_message(side, body)
+            return
         handler = self.handlers.get(kind)
         answer = handler is not None and handler(body)
         side.send(Kind.ANSWER, number, b"\1" if answer else b"\0")
@@ -226,6 +263,8 @@
     def on_connection_lost(self, side: LinkConnection) -> None:
         """Forget the connection to a process that has ended."""
         self.connections.discard(side)
+        if self.list_receiver is not None:
+            self.list_receiver.on_lost(side)
         for number, pending in list(self.pending.items()):
             if side in pending.remaining:
                 self._on_answer(side, number, False)
