Pass on a list of the same version where it differs from what was sent before

Cause: an update with the version that is known already was taken for a repetition, and was neither stored nor passed on. After a reload another service may number its lists alike, and a service may state no versions at all; both had been left to chance (the second got a new numbering with each renewal of the watch).

Change: such an update is compared with the list that is held, before it is applied. Where it differs it gets a higher numbering, so that the other processes take it up; where it does not nothing is stored or sent.

--- a/tests/daemon/test_list_link.py
+++ b/tests/daemon/test_list_link.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
+import pytest
 import uvloop
 
 from tests.helpers import settings
@@ -102,7 +103,7 @@
     async def body(first: Process, second: Process) -> None:
         await until(lambda: first.sharing.version == ListVersion(0, 44))
         assert FLEET[0].name not in first.states() and FLEET[0].name not in second.states()
-        second.notify(44, draining(FLEET[1]), kind=ListKind.FULL)  # discovery sends the whole list again
+        second.notify(44, FLEET[1], kind=ListKind.FULL)  # discovery sends the whole list again
         await asyncio.sleep(0.05)
         assert len(first.updates) == 3
 
@@ -139,6 +140,36 @@
     run(body, prepare=lambda first, second: first.notify(900, draining(FLEET[0]), FLEET[1], kind=ListKind.FULL))
 
 
+@pytest.mark.parametrize("kind", [ListKind.FULL, ListKind.DELTA])
+def test_what_is_sent_again_with_the_same_version_is_passed_on_only_if_it_differs(kind: ListKind) -> None:
+    """Guard against a list that is stored and sent at each renewal, and against another service at the same version."""
+
+    async def body(first: Process, second: Process) -> None:
+        await until(lambda: second.sharing.version == ListVersion(0, 43))
+        changes: list[object] = []
+        first.sharing.listeners.append(changes.append)
+        first.notify(43, *FLEET[:2], kind=kind)
+        assert not changes and first.sharing.version == ListVersion(0, 43)
+        first.notify(43, draining(FLEET[0]), FLEET[1], kind=kind)
+        await until(lambda: second.sharing.version == ListVersion(1, 43))
+        assert len(changes) == 1 and second.states() == first.states()
+        assert second.states()[FLEET[0].name] is EndpointState.DRAINING
+
+    run(body, prepare=lambda first, second: first.notify(43, *FLEET[:2], kind=ListKind.FULL))
+
+
+def test_a_service_without_versions_is_passed_on_as_well() -> None:
+    async def body(first: Process, second: Process) -> None:
+        await until(lambda: len(second.states()) == 2 and second.sharing.notified_at_ms > 0.0)
+        version = first.sharing.version
+        first.notify(0, *FLEET[:2], kind=ListKind.FULL)
+        assert first.sharing.version == version, "nothing new"
+        first.notify(0, draining(FLEET[0]))
+        await until(lambda: second.states()[FLEET[0].name] is EndpointState.DRAINING)
+
+    run(body, prepare=lambda first, second: first.notify(0, *FLEET[:2], kind=ListKind.FULL))
+
+
 def test_a_process_that_does_not_read_gets_the_newest_list_once_it_reads_again() -> None:
     """Guard against messages that pile up for a process that hangs, and against drains that are left out then."""
 
--- a/yarrowspindle/daemon/list_sharing.py
+++ b/yarrowspindle/daemon/list_sharing.py
@@ -86,17 +86,29 @@
         return StoredList(self.version, self.notified_at_ms, self.endpoints())
 
     def on_own_update(self, update: EndpointsUpdated) -> None:
-        """Post an update from this process's own watch, and pass it on."""
+        """Post an update from this process's own watch, and pass it on if it is new."""
+        is_new = update.kind in (ListKind.FULL, ListKind.DELTA) and self._is_new(update)
         self._post(update)
-        if update.kind not in (ListKind.FULL, ListKind.DELTA):
-            return
-        number = update.version
-        if self.notified_at_ms and number == self.version.number > 0 and not _changes(update):
-            return
-        began_anew = number < self.version.number or number == 0
-        self.version = ListVersion(self.version.numbering + began_anew, number)
-        self.notified_at_ms = unix_time_ms()
-        self._notify(update.endpoints if update.kind is ListKind.DELTA else None)
+        if is_new:
+            self.version = self._next_version(update.version)
+            self.notified_at_ms = unix_time_ms()
+            self._notify(update.endpoints if update.kind is ListKind.DELTA else None)
+
+    def _is_new(self, update: EndpointsUpdated) -> bool:
+        """Return whether an update of discovery may differ from the list that processes of the relay were sent."""
+        if not self.notified_at_ms or update.version not in (self.version.number, 0):
+            return True
+        return any(True for _ in self._differences(update.endpoints, update.kind is ListKind.FULL))
+
+    def _next_version(self, number: int) -> ListVersion:
+        """Return the version of a new update.
+
+        The number of a version does not go up where discovery has begun its versions anew, where it is another service
+        since a reload, and where it states none.
+        """
+        confirms_configuration = number == self.version.number and not self.notified_at_ms
+        begins_anew = number == 0 or (number <= self.version.number and not confirms_configuration)
+        return ListVersion(self.version.numbering + begins_anew, number)
 
     def take_up(self, other: StoredList, complete: bool, source: str) -> bool:
         """Take up an update of another process if it is newer; return whether it was.
@@ -140,8 +152,3 @@
     def _notify(self, changed: list[Endpoint] | None) -> None:
         for listener in self.listeners:
             listener(changed)
-
-
-def _changes(update: EndpointsUpdated) -> bool:
-    """Return whether an update of the version that is known already may contain something new."""
-    return update.kind is ListKind.DELTA and bool(update.endpoints)
