Look at the stored list at rest where no link to other processes can be opened

Seen: in a play without Unix sockets the former process of an upgrade, before its SIGTERM, sent two requests to backends whose drain only the new process was told of, up to 1.5 s after the change.

Cause: a process looks at the stored list only while it knows of another one. It learns of one that starts later over the link, which it cannot open there.

Change: where the link cannot be opened, the file is looked at for as long as the process runs; the interval is 100 ms in all cases (it was 50), which with the file's few milliseconds stays far below the drain grace of 400 ms. Where the link can be opened nothing happens at rest.

--- a/tests/daemon/test_list_between_processes.py
+++ b/tests/daemon/test_list_between_processes.py
@@ -12,6 +12,7 @@
 from tests.daemon.upgrade import (
     GRACE_S,
     NO_LINK,
+    NO_UNIX_SOCKETS,
     TIMEOUT_SLACK_S,
     SecondProcess,
     Traffic,
@@ -27,8 +28,15 @@
 Body = Callable[[RelayEnvironment, SecondProcess, Traffic], Awaitable[None]]
 
 
-def run_both(tmp_path: Path, body: Body, script: str = "") -> None:
-    """Run the body while both processes serve, requests are sent, and only the first one reaches discovery."""
+def run_both(tmp_path: Path, body: Body, script: str = "", first_script: str = "") -> None:
+    """Run the body beside two processes, of which the first one has been sent a list.
+
+    Args:
+        tmp_path: the folder of both.
+        body: gets the environment, the second process and what backends receive.
+        script: Python code that is run first in the second process.
+        first_script: the same for the first one.
+    """
 
     async def scenario(env: RelayEnvironment) -> None:
         traffic = Traffic()
@@ -42,7 +50,7 @@
                 for task in tasks:
                     task.cancel()
 
-    run(tmp_path, scenario)
+    run(tmp_path, scenario, script=first_script)
 
 
 async def requests(env: RelayEnvironment, traffic: Traffic, duration_s: float) -> None:
@@ -77,7 +85,8 @@
     run_both(tmp_path, body, script)
 
 
-def test_a_change_that_only_the_new_process_is_told_binds_the_former_one(tmp_path: Path) -> None:
+@pytest.mark.parametrize("link", [True, False], ids=["link", "no sockets"])
+def test_a_change_that_only_the_new_process_is_told_binds_the_former_one(tmp_path: Path, link: bool) -> None:
     """Guard against a former process that does not know yet that it is to end, on a silent watch."""
 
     async def body(env: RelayEnvironment, second: SecondProcess, traffic: Traffic) -> None:
@@ -90,7 +99,8 @@
         assert {answer.word for answer in traffic.answers} == {"UP"}
         await env.next_log_line("s-1 draining")
 
-    run_both(tmp_path, body)
+    script = "" if link else NO_UNIX_SOCKETS
+    run_both(tmp_path, body, script, script)
 
 
 def test_a_backend_that_comes_back_at_one_process_gets_work_from_the_other(tmp_path: Path) -> None:
--- a/tests/daemon/upgrade.py
+++ b/tests/daemon/upgrade.py
@@ -8,18 +8,25 @@
 import asyncio
 import os
 import signal
-import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
-from tests.stand_ins import ROOT, TIMEOUT_S, LinePeer, LineServer, RelayEnvironment
+from tests.stand_ins import ROOT, TIMEOUT_S, LinePeer, LineServer, RelayEnvironment, relay_command
 
 TIMEOUT_SLACK_S = 0.05  # the operators' tolerance on each time limit on sockets
-RUN_RELAY = "from yarrowspindle.daemon.main import main; sys.exit(main())"
-# No other process of the relay is found where it listens for them, as on a system without Unix sockets.
+# The processes of the relay do not find each other, as those of two users.
 NO_LINK = "from yarrowspindle.transport import process_link; process_link.NAME_PREFIX = 'elsewhere/'"
+NO_UNIX_SOCKETS = """
+import types
+from yarrowspindle.transport import process_link
+
+def fail(family):
+    raise OSError("no such sockets")
+
+process_link.socket = types.SimpleNamespace(socket=fail, AF_UNIX=0)
+"""
 CROSSING_S = 0.001  # a close that arrives this soon after a line on an idle connection was under way before it
 REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 GRACE_S = 0.4  # `drain_grace_ms` of `stand_ins.SETTINGS`
@@ -105,9 +112,8 @@
     variables = {"ROUTER_CONFIG": str(env.config_file), "ROUTER_DISCOVERY": f"127.0.0.1:{discovery.port}"}
     variables["YARROWSPINDLE_OPERATOR"] = str(env.config_file.with_name("operator.toml"))
     variables["TMPDIR"] = str(env.config_file.parent)  # common to all processes of a relay
-    command = (sys.executable, "-B", "-c", f"{script}\nimport sys\n{RUN_RELAY}")
     process = await asyncio.create_subprocess_exec(
-        *command, cwd=ROOT, env=os.environ | variables, stderr=asyncio.subprocess.PIPE
+        *relay_command(script), cwd=ROOT, env=os.environ | variables, stderr=asyncio.subprocess.PIPE
     )
     second = SecondProcess(env, discovery, process)
     reading = asyncio.ensure_future(second.read_log())
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -43,6 +43,14 @@
 WRITERS: weakref.WeakKeyDictionary[asyncio.StreamWriter, asyncio.AbstractEventLoop] = weakref.WeakKeyDictionary()
 
 
+def relay_command(script: str = "") -> tuple[str, ...]:
+    """Return the command of a relay process, in which Python code may be run first."""
+    if not script:
+        return sys.executable, "-B", "-m", "yarrowspindle"
+    run_relay = "import sys; from yarrowspindle.daemon.main import main; sys.exit(main())"
+    return sys.executable, "-B", "-c", f"{script}\n{run_relay}"
+
+
 class LinePeer:
     """The test's end of a TCP connection to the relay that carries lines of text.
 
@@ -236,7 +244,7 @@
 
 @asynccontextmanager
 async def relay(
-    tmp: Path, operator: str = "", sockets: int = 0, seed: str = "8c1f30d27a5be964", **changes: Any
+    tmp: Path, operator: str = "", sockets: int = 0, seed: str = "8c1f30d27a5be964", script: str = "", **changes: Any
 ) -> AsyncIterator[RelayEnvironment]:
     """Run a relay process whose cached endpoint list holds both backends, and yield its environment once it serves.
 
@@ -248,6 +256,7 @@
         operator: Text of the operator's file (TOML).
         sockets: Limit of file descriptors, for the process and in its configuration; 0 sets none.
         seed: Seed of the relay's random numbers.
+        script: Python code that is run first in the relay's process.
         **changes: Keys of the settings to replace.
     """
     env = RelayEnvironment()
@@ -274,10 +283,7 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
 
     env.process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-B",
-        "-m",
-        "yarrowspindle",
+        *relay_command(script),
         cwd=ROOT,
         env=process_env,
         stderr=asyncio.subprocess.PIPE,
--- a/yarrowspindle/daemon/list_store.py
+++ b/yarrowspindle/daemon/list_store.py
@@ -21,7 +21,7 @@
 MIN_STORE_INTERVAL_S = 0.05  # a rollout changes many entries one after the other
 RETRY_S = 1.0  # after a failure of the disk
 FINAL_STORE_TIMEOUT_S = 0.1
-FOLLOW_INTERVAL_S = 0.05  # between two looks at the file, while there is another process
+FOLLOW_INTERVAL_S = 0.1  # between two looks at the file, while there may be another process
 PRESENCE_INTERVAL_S = 1.0  # between two looks for that process
 PRESENCE_S = 4.0  # after it was seen to listen: it still receives lists while it shuts down
 
--- a/yarrowspindle/daemon/main.py
+++ b/yarrowspindle/daemon/main.py
@@ -102,7 +102,10 @@
         self._handle_signals()
         self._start_service()
         self._start_configuration()
-        await self.service.process_link.open(connect=other_process_listens(self.config.listen))
+        link = self.service.process_link
+        await link.open(connect=other_process_listens(self.config.listen))
+        if not link.available:  # this process would not learn of one that starts later
+            self._follow_stored_list(lambda: True)
         await self._wait_for_list()
         await self._start_fronts()
         await self._start_membership()
@@ -129,10 +132,10 @@
             self.list_store = ListStore(self.service.list_sharing, file)
             self.list_store.start()
 
-    def _follow_stored_list(self) -> None:
+    def _follow_stored_list(self, other_process_serves: Callable[[], bool]) -> None:
         """Take up what another process of the relay stores, while one serves."""
         if self.list_store is not None:
-            following = self.list_store.follow(self._other_process_listens)
+            following = self.list_store.follow(other_process_serves)
             self.background.append(asyncio.get_running_loop().create_task(following))
 
     def _other_process_listens(self) -> bool:
@@ -150,7 +153,7 @@
         """Wait for discovery before serving if another process of this relay serves, which may know newer lists."""
         if not other_process_listens(self.config.listen):
             return
-        self._follow_stored_list()
+        self._follow_stored_list(self._other_process_listens)
         max_wait_s = min(MAX_LIST_WAIT_S, LIST_WAIT_FRACTION * self.service.longest_deadline_ms() / 1000.0)
         if await self.service.confirm_list(max_wait_s):
             logger.info("another process of this relay serves: this one has confirmed the endpoint list and takes over")
@@ -243,7 +246,7 @@
         if await self._successor_changes(True, deadline):
             logger.info("another process of this relay serves: new connections are left to it")
             self.service.post(SuccessorServing())
-            self._follow_stored_list()
+            self._follow_stored_list(self._other_process_listens)
             assert self.front is not None
             await self.front.hand_over(asyncio.get_running_loop().time() + HAND_OVER_S)
             if await self._successor_changes(False, deadline):
--- a/yarrowspindle/transport/process_link.py
+++ b/yarrowspindle/transport/process_link.py
@@ -180,6 +180,11 @@
         except (OSError, AttributeError) as error:
             logger.warning("no link to other processes of this relay: {!r}", error)
 
+    @property
+    def available(self) -> bool:
+        """Whether other processes can reach this one."""
+        return self.server is not None
+
     def _other_names(self) -> set[str]:
         try:
             table = SOCKET_TABLE.read_text(encoding="utf-8", errors="replace")
