Renew a call that brings an older version than one taken up meanwhile

Cause: a watch was checked for a version that another process was sent only if it had its list by then. Where the version is taken up while the call is on its way, and discovery has begun its versions anew, the changes it brings were ignored as late ones, on a watch that heartbeats keep open.

The comment of a constant stands on one line again.

--- a/tests/daemon/test_list_versions.py
+++ b/tests/daemon/test_list_versions.py
@@ -130,6 +130,19 @@
     run(body)
 
 
+def test_a_call_that_is_on_its_way_and_brings_an_older_version_is_renewed() -> None:
+    """Guard against the same where the version is taken up before the call has brought its first list."""
+
+    async def body(watched: Watched) -> None:
+        call, _ = await watched.next_call()
+        watched.watch.adopt_version(43)
+        send(call, 2, s1="ready")
+        _, request = await watched.next_call()
+        assert "index=43" in request and watched.versions() == []
+
+    run(body)
+
+
 def test_a_watch_that_delivers_the_adopted_version_is_kept() -> None:
     """Guard against a call to discovery for each change during an upgrade."""
 
--- a/yarrowspindle/runtime/endpoint_watch.py
+++ b/yarrowspindle/runtime/endpoint_watch.py
@@ -243,7 +243,10 @@
 
         A change is merely late if the service knows the version from which changes were requested.
         """
-        if watch is not self.watch or (update.kind is ListKind.DELTA and update.version >= watch.version):
+        if watch is not self.watch:
+            return True
+        if update.kind is ListKind.DELTA and update.version >= watch.version:
+            asyncio.get_running_loop().call_later(MAX_BEHIND_S, self._renew_if_behind, watch, self.version)
             return True
         if self.older_list_rejected and update.kind is ListKind.FULL:
             return False
--- a/yarrowspindle/transport/process_link.py
+++ b/yarrowspindle/transport/process_link.py
@@ -25,9 +25,7 @@
 
 SOCKET_TABLE = Path("/proc/net/unix")
 NAME_PREFIX = "yarrowspindle/"
-LIST_SUFFIX = (
-    "/endpoint-list"  # ends the name where the process exchanges lists, which earlier builds do not understand
-)
+LIST_SUFFIX = "/endpoint-list"  # ends the name of a process that exchanges lists; earlier builds do not
 HEADER = struct.Struct("!IBQ")  # length of the body, kind, number of the question
 CREDENTIALS = struct.Struct("@iII")  # struct ucred of unix(7): process, user, group
 MAX_BODY_BYTES = 1 << 17  # a datagram and its sender's address
