--- a/tests/daemon/test_list_file.py
+++ b/tests/daemon/test_list_file.py
@@ -27,9 +27,9 @@
 def test_a_stored_list_is_loaded(tmp_path: Path) -> None:
     with pytest.raises(FileNotFoundError):
         file_in(tmp_path).load()
-    before = file_in(tmp_path).modified()
+    before = file_in(tmp_path).replacement()
     assert file_in(tmp_path).store(stored(0, 43))
-    assert file_in(tmp_path).load() == stored(0, 43) and file_in(tmp_path).modified() != before
+    assert file_in(tmp_path).load() == stored(0, 43) and file_in(tmp_path).replacement() != before
     assert len(list(tmp_path.iterdir())) == 1, "no temporary file is left"
 
 
--- a/tests/protocol/test_shared_list.py
+++ b/tests/protocol/test_shared_list.py
@@ -47,7 +47,8 @@
 def test_a_file_has_the_recorded_form() -> None:
     assert encode_file(STORED, entries(STORED.endpoints), "n3", "10.0.0.4:3000") == FILE_BYTES
     assert decode_file(FILE_BYTES, NAMES, "n3", "10.0.0.4:3000") == STORED
-    assert decode_header(FILE_BYTES[:200], "n3", "10.0.0.4:3000") == (VERSION, NOTIFIED_AT_MS)
+    header = decode_header(FILE_BYTES[:200], "n3", "10.0.0.4:3000")
+    assert (header.version, header.notified_at_ms) == (VERSION, NOTIFIED_AT_MS)
 
 
 def test_a_message_has_the_recorded_form() -> None:
--- a/yarrowspindle/daemon/list_file.py
+++ b/yarrowspindle/daemon/list_file.py
@@ -5,6 +5,7 @@
 import os
 import re
 from pathlib import Path
+from typing import NamedTuple
 
 from yarrowspindle.protocol.endpoint_list import MAX_LIST_BYTES, ListError, ZoneAndKindNames
 from yarrowspindle.protocol.shared_list import (
@@ -23,6 +24,13 @@
 TEMPORARY_SUFFIX = ".new"
 
 
+class Replacement(NamedTuple):
+    """What differs once a file has been replaced."""
+
+    inode: int
+    modified_ns: int
+
+
 class EndpointListFile:
     """A relay's file. It is replaced as a whole, and not synced: it has to outlive the process, not the machine.
 
@@ -81,18 +89,18 @@
             raise
         return True
 
-    def modified(self) -> tuple[int, int]:
-        """Return a value that differs after each change of the file; zeros if there is none."""
+    def replacement(self) -> Replacement | None:
+        """Return what tells whether the file has been replaced; None if there is none."""
         try:
             status = self.path.stat()
         except OSError:
-            return 0, 0
-        return status.st_ino, status.st_mtime_ns
+            return None
+        return Replacement(status.st_ino, status.st_mtime_ns)
 
     def _stored_version(self) -> ListVersion | None:
         """Return the version in the file; None if there is no usable file."""
         try:
-            return decode_header(self._read(MAX_HEADER_BYTES), self.relay, self.listen)[0]
+            return decode_header(self._read(MAX_HEADER_BYTES), self.relay, self.listen).version
         except (OSError, ListError):
             return None
 
--- a/yarrowspindle/daemon/list_sharing.py
+++ b/yarrowspindle/daemon/list_sharing.py
@@ -143,8 +143,8 @@
         for endpoint in endpoints:
             listed.add(endpoint.name)
             backend = backends.get(endpoint.name)
-            held = backend.endpoint if backend is not None else None
-            if held != endpoint and (held is not None or endpoint.state is not EndpointState.GONE):
+            current = backend.endpoint if backend is not None else None
+            if current != endpoint and (current is not None or endpoint.state is not EndpointState.GONE):
                 yield endpoint
         if complete:
             yield from (replace(e, state=EndpointState.GONE) for e in self.endpoints() if e.name not in listed)
--- a/yarrowspindle/daemon/list_store.py
+++ b/yarrowspindle/daemon/list_store.py
@@ -102,7 +102,7 @@
             other_process_serves: returns whether another process listens at the clients' address.
         """
         loop = asyncio.get_running_loop()
-        modified, next_look_at = (0, 0), loop.time()
+        last_replacement, next_look_at = None, loop.time()
         ends_at = next_look_at + PRESENCE_S
         while loop.time() < ends_at:
             await asyncio.sleep(FOLLOW_INTERVAL_S)
@@ -110,9 +110,10 @@
                 next_look_at = loop.time() + PRESENCE_INTERVAL_S
                 if other_process_serves():
                     ends_at = loop.time() + PRESENCE_S
-            last_modified, modified = modified, self._file.modified()
-            if modified == last_modified:
+            replacement = self._file.replacement()
+            if replacement == last_replacement:
                 continue
+            last_replacement = replacement
             newer = await loop.run_in_executor(self._executor, self._file.load_newer, self._sharing.version)
             if newer is not None:
                 self._sharing.take_up(newer, True, "the file that another process of this relay has stored")
--- a/yarrowspindle/protocol/shared_list.py
+++ b/yarrowspindle/protocol/shared_list.py
@@ -25,7 +25,7 @@
 
 from yarrowspindle.decisions.events import EndpointState, ListKind
 from yarrowspindle.protocol.endpoint_list import MAX_TIME_MS, STATES, ListError, ZoneAndKindNames, parse_list
-from yarrowspindle.routing.events import Endpoint, EndpointsUpdated
+from yarrowspindle.routing.events import Endpoint
 
 FILE_FORMAT = 1
 MAX_HEADER_BYTES = 4096
@@ -85,6 +85,23 @@
     endpoints: list[Endpoint]
 
 
+@dataclass(frozen=True, slots=True)
+class FileHeader:
+    """The first line of a file.
+
+    Attributes:
+        version: the version of the list.
+        notified_at_ms: Unix time in milliseconds at which discovery sent it to a process of the relay.
+        length: the length of the list in bytes.
+        crc32: the checksum of the list.
+    """
+
+    version: ListVersion
+    notified_at_ms: float
+    length: object
+    crc32: object
+
+
 class EntryEncoder:
     """Encodes entries of the endpoint list in discovery's form, and keeps the bytes of those that did not change."""
 
@@ -176,8 +193,8 @@
     return json.dumps(header).encode() + b"\n" + body
 
 
-def decode_header(data: bytes, relay: str, listen: str) -> tuple[ListVersion, float]:
-    """Return the version and the time of notification of a file from its first bytes.
+def decode_header(data: bytes, relay: str, listen: str) -> FileHeader:
+    """Return the header of a file from its first bytes.
 
     Raises:
         ListError: the bytes do not begin with the header of a file of this format and this relay.
@@ -190,19 +207,18 @@
         raise ListError(f"the file has the format {fields.get('format')!r}, expected {FILE_FORMAT}")
     if (fields.get("relay"), fields.get("listen")) != (relay, listen):
         raise ListError(f"the file belongs to {fields.get('relay')!r} at {fields.get('listen')!r}")
-    return _version_of(fields), _time_of(fields)
+    return FileHeader(_version_of(fields), _time_of(fields), fields.get("length"), fields.get("crc32"))
 
 
 def decode_file(data: bytes, names: ZoneAndKindNames, relay: str, listen: str) -> StoredList:
     """Return the list of a file. Raise ListError if it is truncated, corrupt, or not of this format and relay."""
-    version, notified_at_ms = decode_header(data, relay, listen)
-    header, _, body = data.partition(b"\n")
-    fields = _parse_object(header)
-    if (len(body), zlib.crc32(body)) != (fields.get("length"), fields.get("crc32")):
+    header = decode_header(data, relay, listen)
+    body = data.partition(b"\n")[2]
+    if (len(body), zlib.crc32(body)) != (header.length, header.crc32):
         raise ListError("the file is truncated or corrupt")
-    update: EndpointsUpdated = parse_list(_parse_object(body), names, ListKind.CACHED)
-    endpoints = [endpoint for endpoint in update.endpoints if endpoint.state is not EndpointState.GONE]
-    return StoredList(version, notified_at_ms, endpoints)
+    entries = parse_list(_parse_object(body), names, ListKind.CACHED).endpoints
+    endpoints = [endpoint for endpoint in entries if endpoint.state is not EndpointState.GONE]
+    return StoredList(header.version, header.notified_at_ms, endpoints)
 
 
 def _with_members(fields: dict[str, Any], entries: list[bytes]) -> bytes:
