Keep the soak's idle clients where a relay closes a connection at once

Cause: a stand-in wrote to a connection that the relay had closed before; uvloop raises no OSError then.

Change: nothing is written to a closed connection.

--- a/benchmarks/soak/idle_clients.py
+++ b/benchmarks/soak/idle_clients.py
@@ -43,7 +43,9 @@
         """Connect, send a partial line or nothing, and wait until the relay closes the connection."""
         reader, writer = await asyncio.wait_for(asyncio.open_connection(*relay.address), 1.0)
         try:
-            writer.write(self.random.choice(FIRST_BYTES))
+            first_bytes = self.random.choice(FIRST_BYTES)
+            if not writer.is_closing():  # the relay may have closed the connection at once
+                writer.write(first_bytes)
             remaining_s = max(0.0, until - self.context.now())
             await asyncio.wait_for(reader.read(), remaining_s)  # until the relay closes it
         finally:
